--- a/cmd/dandelionrail/check.go
+++ b/cmd/dandelionrail/check.go
@@ -34,6 +34,11 @@
 	return exitOK
 }
 
+// printFault prints one fault of a file.
+func printFault(file string, line int, message string) {
+	fmt.Fprintf(os.Stderr, "%s:%d: %s\n", file, line, message)
+}
+
 // readSettings reads the file and prints all its faults.
 func readSettings(file string) (settings.Settings, error) {
 	source, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
@@ -42,7 +47,7 @@
 	}
 	s, faults := settings.Read(string(source))
 	for _, f := range faults {
-		fmt.Fprintf(os.Stderr, "%s:%d: %s\n", file, f.Line(), f.Message())
+		printFault(file, f.Line(), f.Message())
 	}
 	if len(faults) > 0 {
 		return s, errors.Errorf("%s has %d faults", file, len(faults))
--- /dev/null
+++ b/cmd/dandelionrail/daemon.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/duty"
+	"dandelionrail.org/rail/gateway"
+	"dandelionrail.org/rail/gossip"
+	"dandelionrail.org/rail/group"
+	"dandelionrail.org/rail/journal"
+	"dandelionrail.org/rail/platform"
+	"dandelionrail.org/rail/telemetry"
+)
+
+const (
+	// tickInterval is the time between the reducer's ticks.
+	tickInterval = 100 * time.Millisecond
+	// sweepInterval is the time between looks for idle connections and changed settings.
+	sweepInterval = time.Second
+	// operatorInterval and operatorWait space the reads of the operator's records, upstreamInterval those of the upstreams', gatewayInterval those of the gateways'.
+	operatorInterval = 50 * time.Millisecond
+	operatorWait     = time.Second
+	upstreamInterval = 600 * time.Millisecond
+	gatewayInterval  = 3 * time.Second
+	// registerInterval is the time between tries to list this gateway.
+	registerInterval = 500 * time.Millisecond
+	// exitReserve is the time before the end of the grace period at which the process ends by itself.
+	exitReserve = 150 * time.Millisecond
+	// leasePatienceStep spaces the gateways that wait for a lapsed lease.
+	leasePatienceStep = 100 * time.Millisecond
+	leasePatiences    = 8
+)
+
+// daemon is one gateway with its listeners.
+type daemon struct {
+	settings platform.Settings
+	lines    *journal.Lines
+	writers  *group.Group
+	group    *group.Group
+	duties   *group.Group
+	store    *platform.Store
+	gateway  *gateway.Gateway
+	ingress  *platform.Ingress
+	sender   *platform.Sender
+	gossip   *gossip.Gossip
+	duty     *duty.Duty
+	watchers map[string]*gateway.Watcher
+	peers    *http.Server
+	ready    *http.Server
+	changed  time.Time
+	start0   time.Time
+}
+
+func newDaemon(s platform.Settings, out io.Writer) (*daemon, error) {
+	start := time.Now()
+	incarnation := uuid.NewString()
+	t, err := telemetry.New()
+	if err != nil {
+		return nil, errors.Wrap(err, "newDaemon")
+	}
+	d := &daemon{settings: s, lines: journal.NewLines(out, s.Name()), start0: start}
+	d.writers = group.New(context.Background())
+	d.group = group.New(context.Background())
+	d.duties = group.New(context.Background())
+	d.store = platform.NewStore(s.StoreAddress(), s.CloudAddress())
+	d.sender = platform.NewSender(d.group)
+	d.gateway = gateway.New(gateway.NewState(s.Gateway(incarnation, start)), d.sender, d.lines, t)
+	d.ingress = platform.NewIngress(d.gateway)
+	d.gossip = gossip.New(d.gateway, d.lines, d.group)
+	operator, upstreams, gateways := platform.NewOperatorTopic(d.store, d.lines), platform.NewUpstreamTopic(d.store, d.lines), platform.NewGatewayTopic(d.store)
+	d.watchers = map[string]*gateway.Watcher{
+		operator.Name():  gateway.NewWatcher(operator, d.gateway, d.gossip, operatorInterval, operatorWait),
+		upstreams.Name(): gateway.NewWatcher(upstreams, d.gateway, d.gossip, upstreamInterval, 0),
+		gateways.Name():  gateway.NewWatcher(gateways, d.gateway, d.gossip, gatewayInterval, 0),
+	}
+	l := duty.NewLease(s.Name(), incarnation, s.Gateway(incarnation, start).Lease(), leasePatience(s.Name()))
+	d.duty = duty.New(l, d.gateway, platform.NewDuties(d.store, s.Name()), platform.NewDuties(d.store, s.Name()), d.lines, bootTime, s.Duty("usage"), s.Duty("scale"))
+	mux := http.NewServeMux()
+	gossip.NewServer(d.gateway, d.watchers).Mount(mux)
+	mux.Handle("GET /metrics", t.Handler())
+	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	d.ready = &http.Server{Handler: platform.Readiness(d.gateway), ReadHeaderTimeout: time.Second}
+	return d, nil
+}
+
+// leasePatience spreads the gateways that wait for the same lease by their names.
+func leasePatience(name string) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // A hash takes any bytes.
+	return time.Duration(h.Sum32()%leasePatiences) * leasePatienceStep
+}
+
+// bootTime returns the time since the boot, which runs on while the process is frozen.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano()) // Only kernels before 2.6.39 lack it.
+	}
+	return time.Duration(t.Nano())
+}
+
+// start opens the listeners and starts all loops.
+func (d *daemon) start() {
+	debug.SetGCPercent(gcPercent)
+	d.writers.Go(d.lines.Run)
+	d.lines.Write(rail.EventStarted, gateway.NewField("domain", d.settings.Domain()), gateway.NewField("callers", d.settings.CallerAddress()), gateway.NewField("peers", d.settings.PeerAddress()), gateway.NewField("store", d.settings.StoreAddress()))
+	d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.PeerAddress(), d.peers.Serve) })
+	d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.ReadyAddress(), d.ready.Serve) })
+	d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.CallerAddress(), d.ingress.Serve) })
+	for _, w := range d.watchers {
+		d.group.Go(w.Run)
+	}
+	d.group.Go(d.gossip.Run)
+	d.group.Go(d.register)
+	d.group.Go(d.tick)
+	d.duties.Go(d.duty.Run)
+}
+
+// listen serves an address, and tries again while it is taken.
+func (d *daemon) listen(ctx context.Context, address string, serve func(net.Listener) error) {
+	for ctx.Err() == nil {
+		var c net.ListenConfig
+		l, err := c.Listen(ctx, "tcp", address)
+		if err == nil {
+			err = serve(l)
+		}
+		if err == nil || errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		d.lines.Write(rail.EventListenFailed, gateway.NewField("address", address), gateway.NewField("error", err.Error()))
+		pause(ctx, registerInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// register lists this gateway in the store.
+func (d *daemon) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		err := d.store.Register(callCtx, d.settings.Name(), d.settings.PeerAddress())
+		cancel()
+		if err == nil {
+			return
+		}
+		d.lines.Write(rail.EventPlatformAway, gateway.NewField("error", err.Error()))
+		pause(ctx, registerInterval)
+	}
+}
+
+func (d *daemon) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			d.gateway.Post(gateway.Ticked{})
+			if now.Sub(swept) >= sweepInterval {
+				swept = now
+				d.sender.Sweep()
+				d.ingress.Sweep()
+				d.reloadIfChanged()
+			}
+		}
+	}
+}
+
+// reloadIfChanged reads the settings again if the file is newer; the platform may change it without a signal.
+func (d *daemon) reloadIfChanged() {
+	info, err := os.Stat(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		d.lines.Write(rail.EventSettingsReloaded, gateway.NewField("error", err.Error()))
+		return
+	}
+	if d.changed.IsZero() {
+		d.changed = info.ModTime()
+	}
+	if !info.ModTime().Equal(d.changed) {
+		d.changed = info.ModTime()
+		d.reload()
+	}
+}
+
+// reload reads the settings again; with a fault in them, those in force stay.
+func (d *daemon) reload() {
+	s, err := readPlatformSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		d.lines.Write(rail.EventSettingsReloaded, gateway.NewField("error", err.Error()))
+		return
+	}
+	d.gateway.Post(gateway.NewSettingsRead(s.Gateway("", d.start0)))
+	d.lines.Write(rail.EventSettingsReloaded)
+}
+
+// leave ends the process without cutting off a request in progress: it says that it is not ready, takes requests until nobody sends more, and finishes what it has.
+func (d *daemon) leave() {
+	linger, grace := d.settings.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), grace-exitReserve)
+	defer cancel()
+	d.gateway.Post(gateway.LeaveStarted{})
+	d.lines.Write(rail.EventShutdown)
+	d.duties.Stop()
+	d.ingress.Announce()
+	pause(ctx, linger)
+	if err := d.ingress.Leave(ctx); err != nil {
+		d.lines.Write(rail.EventShutdown, gateway.NewField("error", err.Error()))
+	}
+	callCtx, cancelCall := context.WithTimeout(context.Background(), exitReserve)
+	defer cancelCall()
+	if err := d.store.Register(callCtx, d.settings.Name(), ""); err != nil {
+		d.lines.Write(rail.EventPlatformAway, gateway.NewField("error", err.Error()))
+	}
+	d.lines.Write(rail.EventStopped)
+	d.writers.Stop()
+}
--- /dev/null
+++ b/cmd/dandelionrail/gateway.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"dandelionrail.org/rail/platform"
+)
+
+const usageGateway = `Runs one gateway on the users' platform. The variable DANDELIONRAIL_CONFIG names
+its settings file. SIGTERM starts a graceful shutdown, SIGHUP reads the settings
+again. Log lines go to standard output as JSON, one for each decision.`
+
+// gatewayCommand is `dandelionrail gateway`.
+type gatewayCommand struct{ command *flaggy.Subcommand }
+
+func newGateway() *gatewayCommand {
+	c := &gatewayCommand{command: flaggy.NewSubcommand("gateway")}
+	c.command.Description = usageGateway
+	return c
+}
+
+func (c *gatewayCommand) run() int {
+	s, err := readPlatformSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return fail(exitBadInput, err)
+	}
+	d, err := newDaemon(s, os.Stdout)
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	d.start()
+	for x := range signals {
+		if x == syscall.SIGHUP {
+			d.reload()
+			continue
+		}
+		break
+	}
+	d.leave()
+	return exitOK
+}
+
+// readPlatformSettings reads the platform's settings file and prints all its faults.
+func readPlatformSettings(file string) (platform.Settings, error) {
+	source, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return platform.Settings{}, errors.Wrap(err, "readPlatformSettings")
+	}
+	s, faults := platform.ReadSettings(string(source))
+	for _, f := range faults {
+		printFault(file, f.Line(), f.Message())
+	}
+	if len(faults) > 0 {
+		return s, errors.Errorf("%s has %d faults", file, len(faults))
+	}
+	return s, nil
+}
--- a/cmd/dandelionrail/main.go
+++ b/cmd/dandelionrail/main.go
@@ -22,13 +22,16 @@
 	flaggy.SetName("dandelionrail")
 	flaggy.SetDescription("Serves models and order services on instances that may be reclaimed.")
 	flaggy.SetVersion(version)
-	serve, check := newServe(), newCheck()
+	serve, check, gateway := newServe(), newCheck(), newGateway()
 	flaggy.AttachSubcommand(serve.command, 1)
 	flaggy.AttachSubcommand(check.command, 1)
+	flaggy.AttachSubcommand(gateway.command, 1)
 	flaggy.Parse()
 	switch {
 	case serve.command.Used:
 		return serve.run()
+	case gateway.command.Used:
+		return gateway.run()
 	case check.command.Used:
 		return check.run()
 	default:
--- a/cmd/railreplay/proof/idle_test.go
+++ b/cmd/railreplay/proof/idle_test.go
@@ -15,7 +15,7 @@
 
 	"dandelionrail.org/rail"
 	"dandelionrail.org/rail/group"
-	"dandelionrail.org/rail/platform"
+	"dandelionrail.org/rail/outside"
 )
 
 const (
@@ -56,7 +56,7 @@
 
 // listUpstreams registers upstreams at the addresses of the engines until the context ends.
 func (s *system) listUpstreams(ctx context.Context, n int) {
-	c := platform.New(s.platform.url(), &http.Client{})
+	c := outside.New(s.platform.url(), &http.Client{})
 	var engines []rail.Instance
 	for ctx.Err() == nil && len(engines) < idleEngines {
 		listed, _ := c.Instances(ctx) // The list lags; an error is tried again.
--- /dev/null
+++ b/duty/duty.go
@@ -0,0 +1,375 @@
+package duty
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/gateway"
+)
+
+// ErrFenced tells that another holder has used a higher fence.
+var ErrFenced = errors.New("duty: a higher fence was used")
+
+// ErrNone tells that the cloud has no upstreams of the class in the domain now.
+var ErrNone = errors.New("duty: no upstreams are to be had there")
+
+// Log is the topic of the store that holds the lease.
+type Log interface {
+	// Read returns the records from the offset on.
+	Read(ctx context.Context, from int64, wait time.Duration) (gateway.Batch, error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (gateway.Batch, error)
+	// Append adds the record if the topic ends at the offset, and returns gateway.ErrConflict if it does not.
+	Append(ctx context.Context, key string, value []byte, at int64) error
+}
+
+// Cloud takes the calls of the duties; each carries the holder's fence.
+type Cloud interface {
+	// ReportUsage reports the requests of a window by team.
+	ReportUsage(ctx context.Context, fence, window int64, counts map[string]int64) error
+	// OrderUpstreams orders a number of upstreams of a service in a failure domain.
+	OrderUpstreams(ctx context.Context, fence int64, service string, w Wanted) error
+	// TellRollout tells the operator where a rollout stands.
+	TellRollout(ctx context.Context, o gateway.RolloutOrder) error
+}
+
+const (
+	// interval is the time between looks at what is due.
+	interval = 400 * time.Millisecond
+	// candidateInterval is the time between reads of the lease by gateways that do not hold it.
+	candidateInterval = 1200 * time.Millisecond
+	// callTimeout bounds a call.
+	callTimeout = 600 * time.Millisecond
+	// usageDelay is how long after its end a window is reported, so that all peers have told their counts.
+	usageDelay = 2 * time.Second
+	// reportedWindows is how many windows back a report is made, within the time that it is due.
+	reportedWindows = 3
+	// orderRepeat is how long after an order it is made again if the upstreams have not come.
+	orderRepeat = 7 * time.Second
+	// refusedRepeat is how long after a refusal an order is made again.
+	refusedRepeat = 2500 * time.Millisecond
+)
+
+// Duty runs the duties of one gateway.
+type Duty struct {
+	lease    *Lease
+	gateway  *gateway.Gateway
+	log      Log
+	cloud    Cloud
+	lines    gateway.Log
+	now      func() time.Duration
+	usage    bool
+	scale    bool
+	read     time.Duration
+	reported map[int64]bool
+	plans    map[string]*Plan
+	orders   map[orderKey]*order
+	demand   demand
+	told     map[string]gateway.RolloutState
+}
+
+type orderKey struct {
+	service, domain string
+	spot            bool
+}
+
+// order is the last one of its kind.
+type order struct {
+	count   int
+	at      time.Time
+	done    bool
+	refused time.Time
+}
+
+// New returns the duties of a gateway; now is a clock that runs on while the process is frozen. Run must be started.
+func New(l *Lease, g *gateway.Gateway, log Log, cloud Cloud, lines gateway.Log, now func() time.Duration, usage, scale bool) *Duty {
+	return &Duty{
+		lease: l, gateway: g, log: log, cloud: cloud, lines: lines, now: now, usage: usage, scale: scale,
+		reported: map[int64]bool{}, plans: map[string]*Plan{}, orders: map[orderKey]*order{}, told: map[string]gateway.RolloutState{},
+	}
+}
+
+// Run does what is due until the context ends, and gives the lease up then.
+func (d *Duty) Run(ctx context.Context) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.release(context.WithoutCancel(ctx))
+			return
+		case <-t.C:
+			d.tick(ctx)
+		}
+	}
+}
+
+func (d *Duty) tick(ctx context.Context) {
+	if err := d.keep(ctx); err != nil {
+		d.lose(err)
+		return
+	}
+	if !d.lease.Held(d.now()) {
+		return
+	}
+	d.tellRollouts(ctx)
+	if d.usage {
+		d.reportUsage(ctx)
+	}
+	if d.scale {
+		d.orderUpstreams(ctx)
+	}
+}
+
+// lose logs that the lease is not kept.
+func (d *Duty) lose(err error) {
+	if errors.Is(err, ErrFenced) || errors.Is(err, gateway.ErrConflict) {
+		d.lease.Drop()
+	}
+	d.lines.Write(rail.EventDutyLost, gateway.NewField("holder", d.lease.Holder()), gateway.NewField("fence", d.lease.Fence()), gateway.NewField("error", err.Error()))
+}
+
+// keep reads the lease, renews it, or takes it from a silent holder.
+func (d *Duty) keep(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	now := d.now()
+	if !d.lease.Held(now) && (now-d.read >= candidateInterval || d.lease.Due(now)) {
+		if err := d.follow(ctx); err != nil {
+			return err
+		}
+	}
+	if !d.lease.Due(now) {
+		return nil
+	}
+	key, value, err := d.lease.Claim(now)
+	if err != nil {
+		return err
+	}
+	at := d.lease.Next()
+	if err := d.log.Append(ctx, key, value, at); err != nil {
+		if errors.Is(err, gateway.ErrConflict) {
+			d.lease.Drop()
+			return d.follow(ctx)
+		}
+		return err
+	}
+	taken, err := d.lease.Claimed(value, at, now)
+	if taken {
+		d.reported, d.orders = map[int64]bool{}, map[orderKey]*order{}
+		d.lines.Write(rail.EventDutyTaken, gateway.NewField("fence", d.lease.Fence()), gateway.NewField("offset", at))
+	}
+	return err
+}
+
+// follow reads what others wrote to the topic.
+func (d *Duty) follow(ctx context.Context) error {
+	at := d.now()
+	d.read = at
+	var b gateway.Batch
+	err := gateway.ErrCompacted
+	if d.lease.Next() > 0 {
+		b, err = d.log.Read(ctx, d.lease.Next(), 0)
+	}
+	if errors.Is(err, gateway.ErrCompacted) {
+		b, err = d.log.Newest(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	return d.lease.Read(b.Records(), b.Next(), at)
+}
+
+func (d *Duty) release(ctx context.Context) {
+	if !d.lease.Held(d.now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key, value, err := d.lease.Release()
+	if err == nil {
+		err = d.log.Append(ctx, key, value, d.lease.Next())
+	}
+	if err != nil { // The lease ends by its time-out.
+		d.lines.Write(rail.EventDutyLost, gateway.NewField("fence", d.lease.Fence()), gateway.NewField("error", err.Error()))
+	}
+}
+
+// reportUsage fixes the counts of each window that has ended and reports them.
+func (d *Duty) reportUsage(ctx context.Context) {
+	var current int64
+	var into time.Duration
+	d.gateway.View(func(s *gateway.State) { current, into = s.Window(time.Now()) })
+	last := current - 1
+	if into < usageDelay {
+		last--
+	}
+	for w := last - reportedWindows + 1; w <= last; w++ {
+		if d.reported[w] || !d.lease.Held(d.now()) {
+			continue
+		}
+		if err := d.reportWindow(ctx, w); err != nil {
+			d.lose(err)
+			return
+		}
+	}
+	for w := range d.reported {
+		if last-w > usageKeys {
+			delete(d.reported, w)
+		}
+	}
+}
+
+func (d *Duty) reportWindow(ctx context.Context, w int64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	counts, fixed := d.lease.Usage(w)
+	if !fixed {
+		d.gateway.View(func(s *gateway.State) { counts = s.Usage(w) })
+		if len(counts) == 0 {
+			return nil
+		}
+		key, value, err := d.lease.FixUsage(w, counts)
+		if err != nil {
+			return err
+		}
+		at := d.lease.Next()
+		if err := d.log.Append(ctx, key, value, at); err != nil {
+			return err
+		}
+		if err := d.lease.Read([]gateway.Record{gateway.NewRecord(key, value, at)}, at+1, d.now()); err != nil {
+			return err
+		}
+	}
+	if err := d.cloud.ReportUsage(ctx, d.lease.Fence(), w, counts); err != nil {
+		return err
+	}
+	d.reported[w] = true
+	d.lines.Write(rail.EventUsageReported, gateway.NewField("window", w), gateway.NewField("counts", counts), gateway.NewField("fence", d.lease.Fence()))
+	return nil
+}
+
+// demand measures the prompt tokens a second over all gateways.
+type demand struct {
+	total int64
+	at    time.Time
+	rate  float64
+}
+
+// demandGain is the weight of one second in the moving rate of the demand.
+const demandGain = 0.3
+
+func (m *demand) measure(total int64, now time.Time) bool {
+	passed := now.Sub(m.at).Seconds()
+	if passed < 1 {
+		return false
+	}
+	if !m.at.IsZero() && total >= m.total {
+		m.rate += demandGain * (float64(total-m.total)/passed - m.rate)
+	}
+	m.total, m.at = total, now
+	return true
+}
+
+// orderUpstreams orders what the plan of each service wants.
+func (d *Duty) orderUpstreams(ctx context.Context) {
+	now := time.Now()
+	var services []*gateway.Fleet
+	var total int64
+	d.gateway.View(func(s *gateway.State) { services, total = s.Fleets(), s.Demand() })
+	fresh := d.demand.measure(total, now)
+	for _, f := range services {
+		p, ok := d.plans[f.Service()]
+		if !ok {
+			p = NewPlan(f.Least(), f.Most(), f.Total())
+			d.plans[f.Service()] = p
+		}
+		if fresh && d.demand.rate > 0 {
+			p.Demand(d.demand.rate, now)
+		}
+		for _, w := range p.Wanted(d.domains(f, now)) {
+			if err := d.order(ctx, f, w, now); err != nil {
+				d.lose(err)
+				return
+			}
+		}
+	}
+}
+
+func (d *Duty) domains(f *gateway.Fleet, now time.Time) []Domain {
+	var domains []Domain
+	for name, price := range f.Prices() {
+		o := d.orders[orderKey{f.Service(), name, true}]
+		refused := o != nil && !o.refused.IsZero() && now.Sub(o.refused) < 2*refusedRepeat
+		domains = append(domains, NewDomain(name, price, f.Count(name, true), f.Count(name, false), refused))
+	}
+	sort.Slice(domains, func(i, j int) bool { return domains[i].name < domains[j].name })
+	return domains
+}
+
+// order makes an order if it differs from the last one, or if that one did not come about.
+func (d *Duty) order(ctx context.Context, f *gateway.Fleet, w Wanted, now time.Time) error {
+	k := orderKey{f.Service(), w.domain, w.spot}
+	o, ok := d.orders[k]
+	if !ok {
+		o = &order{count: -1}
+		d.orders[k] = o
+	}
+	switch {
+	case !o.refused.IsZero() && now.Sub(o.refused) < refusedRepeat:
+		return nil
+	case o.done && o.count == w.count && (f.Count(w.domain, w.spot) >= w.count || now.Sub(o.at) < orderRepeat):
+		return nil
+	case !d.lease.Held(d.now()):
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := d.cloud.OrderUpstreams(ctx, d.lease.Fence(), f.Service(), w)
+	d.lines.Write(rail.EventUpstreamsOrdered, gateway.NewField("service", f.Service()), gateway.NewField("domain", w.domain), gateway.NewField("spot", w.spot),
+		gateway.NewField("count", w.count), gateway.NewField("present", f.Count(w.domain, w.spot)), gateway.NewField("demand", int64(d.demand.rate)),
+		gateway.NewField("fence", d.lease.Fence()), gateway.NewField("error", errorText(err)))
+	o.count, o.at, o.done, o.refused = w.count, now, err == nil, time.Time{}
+	if errors.Is(err, ErrNone) {
+		o.refused = now
+		return nil
+	}
+	if errors.Is(err, ErrFenced) {
+		return err
+	}
+	return nil // An order without an answer is made again.
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// tellRollouts tells the operator of each change of a rollout.
+func (d *Duty) tellRollouts(ctx context.Context) {
+	var verdicts map[string]gateway.RolloutOrder
+	d.gateway.View(func(s *gateway.State) { verdicts = s.Verdicts() })
+	for _, o := range verdicts {
+		k := o.Service() + "/" + o.Target()
+		if d.told[k] == o.State() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := d.cloud.TellRollout(callCtx, o)
+		cancel()
+		if err != nil {
+			d.lose(err)
+			return
+		}
+		d.told[k] = o.State()
+		if o.State() != gateway.RolloutRunning {
+			d.gateway.Post(gateway.NewRolloutRead(o))
+		}
+	}
+}
--- a/entry/bytes_test.go
+++ b/entry/bytes_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dandelionrail.org/rail"
-	client "dandelionrail.org/rail/platform"
+	client "dandelionrail.org/rail/outside"
 	"dandelionrail.org/rail/standin/engine"
 	"dandelionrail.org/rail/standin/platform"
 )
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -22,8 +22,8 @@
 	"dandelionrail.org/rail/instance"
 	"dandelionrail.org/rail/journal"
 	"dandelionrail.org/rail/order"
+	"dandelionrail.org/rail/outside"
 	"dandelionrail.org/rail/peer"
-	"dandelionrail.org/rail/platform"
 	"dandelionrail.org/rail/rollout"
 	"dandelionrail.org/rail/service"
 	"dandelionrail.org/rail/settings"
@@ -45,7 +45,7 @@
 	ring     *timeline.Ring
 	journal  *journal.Journal
 	metrics  *telemetry.Telemetry
-	platform *platform.Client
+	platform *outside.Client
 	log      rail.Log
 	engine   rail.Engine
 	service  rail.Service
@@ -92,8 +92,8 @@
 
 // compose builds the parts, the loop and the runner.
 func (d *Daemon) compose() error {
-	d.platform = platform.New(d.settings.Platform(), &http.Client{})
-	d.log = platform.NewEnvironmentLog(d.platform, d.settings.Environment())
+	d.platform = outside.New(d.settings.Platform(), &http.Client{})
+	d.log = outside.NewEnvironmentLog(d.platform, d.settings.Environment())
 	answers := d.settings.Answers().WithInstance(d.me.ID())
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Not for secrets.
 	d.loop = NewLoop(NewComposite(d.me, d.newParts(answers)), d.settings.QueueLength(), random)
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -16,7 +16,7 @@
 	"dandelionrail.org/rail"
 	"dandelionrail.org/rail/document"
 	"dandelionrail.org/rail/entry"
-	client "dandelionrail.org/rail/platform"
+	client "dandelionrail.org/rail/outside"
 	"dandelionrail.org/rail/settings"
 	"dandelionrail.org/rail/standin/engine"
 	"dandelionrail.org/rail/standin/platform"
--- a/entry/order_daemon_test.go
+++ b/entry/order_daemon_test.go
@@ -15,7 +15,7 @@
 	"dandelionrail.org/rail"
 	"dandelionrail.org/rail/document"
 	"dandelionrail.org/rail/entry"
-	client "dandelionrail.org/rail/platform"
+	client "dandelionrail.org/rail/outside"
 	"dandelionrail.org/rail/standin/platform"
 	"dandelionrail.org/rail/standin/service"
 )
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -8,7 +8,7 @@
 	"dandelionrail.org/rail"
 	"dandelionrail.org/rail/fleet"
 	"dandelionrail.org/rail/instance"
-	"dandelionrail.org/rail/platform"
+	"dandelionrail.org/rail/outside"
 )
 
 const (
@@ -69,7 +69,7 @@
 		instances, err := listOnce(ctx, list)
 		if err == nil { // Without one the last snapshot stands; the log's reader reports the outage.
 			size = len(instances)
-			_ = p.PostWait(ctx, rail.NewListRead(platform.EntriesOf(environment, instances)))
+			_ = p.PostWait(ctx, rail.NewListRead(outside.EntriesOf(environment, instances)))
 		}
 		pause(ctx, interval)
 		pauseUnless(ctx, listPause(interval, size)-interval, wanted)
--- /dev/null
+++ b/gateway/digest.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"time"
+
+	"dandelionrail.org/rail/gen/railv1"
+)
+
+// Load is what a gateway has under way at one upstream.
+type Load struct {
+	running int
+	// waitingTokens are the prompt tokens of the requests without a first token.
+	waitingTokens int64
+	// heldTokens are the tokens of all requests.
+	heldTokens int64
+}
+
+func (l *Load) add(o Load) {
+	l.running += o.running
+	l.waitingTokens += o.waitingTokens
+	l.heldTokens += o.heldTokens
+}
+
+func (l *Load) subtract(o Load) {
+	l.add(Load{running: -o.running, waitingTokens: -o.waitingTokens, heldTokens: -o.heldTokens})
+}
+
+// versionKey names a version of a service.
+type versionKey struct{ service, version string }
+
+// tally counts what came of the requests sent to a version.
+type tally struct{ sent, good, bad int64 }
+
+func (t *tally) add(o tally) {
+	t.sent += o.sent
+	t.good += o.good
+	t.bad += o.bad
+}
+
+// usage counts the requests that began, by window and team.
+type usage map[int64]map[string]int64
+
+func (u usage) count(window int64, team string, n int64) {
+	if u[window] == nil {
+		u[window] = map[string]int64{}
+	}
+	u[window][team] += n
+}
+
+// Digest is what one gateway says of itself; counts are since its start.
+type Digest struct {
+	gateway     string
+	incarnation string
+	wall        time.Time
+	storeAway   bool
+	loads       map[string]Load
+	tokens      map[string]int64
+	usage       usage
+	leaving     []string
+	versions    map[versionKey]tally
+	demand      int64
+}
+
+// Gateway returns the name of the gateway that says it.
+func (d Digest) Gateway() string { return d.gateway }
+
+// StoreAway reports whether the gateway cannot read the store.
+func (d Digest) StoreAway() bool { return d.storeAway }
+
+// Message returns the digest as it is sent.
+func (d Digest) Message() *railv1.GatewayDigest {
+	m := &railv1.GatewayDigest{
+		Gateway: d.gateway, Incarnation: d.incarnation, WallMs: d.wall.UnixMilli(), StoreAway: d.storeAway,
+		Tokens: d.tokens, Leaving: d.leaving, DemandTokens: d.demand,
+	}
+	for id, l := range d.loads {
+		m.Loads = append(m.Loads, &railv1.UpstreamLoad{Upstream: id, Running: int32(l.running), WaitingTokens: l.waitingTokens, HeldTokens: l.heldTokens}) //nolint:gosec // Bounded by the connections.
+	}
+	for n, counts := range d.usage {
+		m.Usage = append(m.Usage, &railv1.UsageWindow{Number: n, Counts: counts})
+	}
+	for k, t := range d.versions {
+		m.Versions = append(m.Versions, &railv1.VersionTally{Service: k.service, Version: k.version, Sent: t.sent, Good: t.good, Bad: t.bad})
+	}
+	return m
+}
+
+// DigestFrom returns the digest that a peer sent.
+func DigestFrom(m *railv1.GatewayDigest) Digest {
+	d := Digest{
+		gateway: m.GetGateway(), incarnation: m.GetIncarnation(), wall: time.UnixMilli(m.GetWallMs()), storeAway: m.GetStoreAway(),
+		loads: make(map[string]Load, len(m.GetLoads())), tokens: m.GetTokens(), usage: usage{}, leaving: m.GetLeaving(),
+		versions: map[versionKey]tally{}, demand: m.GetDemandTokens(),
+	}
+	for _, l := range m.GetLoads() {
+		d.loads[l.GetUpstream()] = Load{running: int(l.GetRunning()), waitingTokens: l.GetWaitingTokens(), heldTokens: l.GetHeldTokens()}
+	}
+	for _, w := range m.GetUsage() {
+		d.usage[w.GetNumber()] = w.GetCounts()
+	}
+	for _, t := range m.GetVersions() {
+		d.versions[versionKey{t.GetService(), t.GetVersion()}] = tally{sent: t.GetSent(), good: t.GetGood(), bad: t.GetBad()}
+	}
+	return d
+}
--- /dev/null
+++ b/gateway/event.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"time"
+
+	"dandelionrail.org/rail"
+)
+
+// Event is something that State takes in.
+type Event interface{ gatewayEvent() }
+
+// CatalogueRead tells of a version of the configuration; older ones than that in force have no effect.
+type CatalogueRead struct {
+	catalogue *Catalogue
+	source    string
+}
+
+// NewCatalogueRead returns the event; source is store or the name of a peer.
+func NewCatalogueRead(c *Catalogue, source string) CatalogueRead {
+	return CatalogueRead{catalogue: c, source: source}
+}
+
+// UpstreamsRead tells of changes of the list of upstreams, in their order.
+type UpstreamsRead struct {
+	changes []UpstreamChange
+	whole   bool
+	source  string
+}
+
+// NewUpstreamsRead returns the event; whole says that upstreams without a change are gone.
+func NewUpstreamsRead(changes []UpstreamChange, whole bool, source string) UpstreamsRead {
+	return UpstreamsRead{changes: changes, whole: whole, source: source}
+}
+
+// StoreReached tells whether a read of the store succeeded.
+type StoreReached struct {
+	ok  bool
+	err error
+}
+
+// NewStoreReached returns the event; err is nil after a success.
+func NewStoreReached(err error) StoreReached { return StoreReached{ok: err == nil, err: err} }
+
+// DigestHeard tells of a peer's digest.
+type DigestHeard struct{ digest Digest }
+
+// NewDigestHeard returns the event.
+func NewDigestHeard(d Digest) DigestHeard { return DigestHeard{digest: d} }
+
+// PeersRead tells of gateways that registered in the store, or left it.
+type PeersRead struct {
+	addresses map[string]string
+	whole     bool
+}
+
+// NewPeersRead returns the event with host:port by name, empty for a gateway that left; whole says that there are no others.
+func NewPeersRead(addresses map[string]string, whole bool) PeersRead {
+	return PeersRead{addresses: addresses, whole: whole}
+}
+
+// RolloutRead tells of the newest rollout order of a service and of its verdict, if there is one.
+type RolloutRead struct{ order RolloutOrder }
+
+// NewRolloutRead returns the event.
+func NewRolloutRead(o RolloutOrder) RolloutRead { return RolloutRead{order: o} }
+
+// SettingsRead tells that the settings were read again.
+type SettingsRead struct{ settings Settings }
+
+// NewSettingsRead returns the event; name, domain and incarnation stay as they were.
+func NewSettingsRead(s Settings) SettingsRead { return SettingsRead{settings: s} }
+
+// Ticked tells that time has passed.
+type Ticked struct{}
+
+// LeaveStarted tells that this gateway shuts down.
+type LeaveStarted struct{}
+
+// Arrived tells of a call.
+type Arrived struct{ call *Call }
+
+// Began tells that an upstream began to answer a call.
+type Began struct{ call *Call }
+
+// Progressed tells that an upstream sent events of a stream.
+type Progressed struct{ call *Call }
+
+// Outcome says how an attempt ended.
+type Outcome struct {
+	kind rail.Kind
+	// events is the number of stream events that reached the caller in this attempt.
+	events int
+	// last is the id of the last event that reached the caller, empty if none did.
+	last string
+	// answered says that the upstream gave a whole answer of its own, whatever its status.
+	answered bool
+	// status is the HTTP status of that answer.
+	status int
+	err    error
+}
+
+// AttemptEnded tells that an attempt of a call is over.
+type AttemptEnded struct {
+	call    *Call
+	outcome Outcome
+}
+
+// Gone tells that the caller of a call went away.
+type Gone struct{ call *Call }
+
+func (CatalogueRead) gatewayEvent() {}
+func (UpstreamsRead) gatewayEvent() {}
+func (StoreReached) gatewayEvent()  {}
+func (DigestHeard) gatewayEvent()   {}
+func (PeersRead) gatewayEvent()     {}
+func (RolloutRead) gatewayEvent()   {}
+func (SettingsRead) gatewayEvent()  {}
+func (Ticked) gatewayEvent()        {}
+func (LeaveStarted) gatewayEvent()  {}
+func (Arrived) gatewayEvent()       {}
+func (Began) gatewayEvent()         {}
+func (Progressed) gatewayEvent()    {}
+func (AttemptEnded) gatewayEvent()  {}
+func (Gone) gatewayEvent()          {}
+
+// Effect is something that State wants done.
+type Effect interface{ gatewayEffect() }
+
+// Send asks that a call be sent to an upstream.
+type Send struct {
+	call     *Call
+	upstream Upstream
+	route    *Route
+	team     string
+	number   int
+	rank     int
+	maxConns int
+	resume   string
+	deadline time.Time
+	patience time.Duration
+}
+
+// Refuse asks that a call be answered with an error of this gateway.
+type Refuse struct {
+	call       *Call
+	kind       rail.Kind
+	retryAfter time.Duration
+}
+
+// Deliver asks that the upstream's own answer be handed to the caller.
+type Deliver struct{ call *Call }
+
+// Abort asks that the attempt of a call be broken off for the reason.
+type Abort struct {
+	call *Call
+	kind rail.Kind
+}
+
+// Report asks for a log line.
+type Report struct {
+	number rail.Number
+	fields []Field
+}
+
+// Field is one value of a log line.
+type Field struct {
+	key   string
+	value any
+}
+
+// NewField returns the value under the key.
+func NewField(key string, value any) Field { return Field{key: key, value: value} }
+
+// Key returns the key.
+func (f Field) Key() string { return f.key }
+
+// Value returns the value.
+func (f Field) Value() any { return f.value }
+
+func (Send) gatewayEffect()    {}
+func (Refuse) gatewayEffect()  {}
+func (Deliver) gatewayEffect() {}
+func (Abort) gatewayEffect()   {}
+func (Report) gatewayEffect()  {}
+
+func report(n rail.Number, fields ...Field) Report { return Report{number: n, fields: fields} }
+
+// Attempt returns the number of the attempt, from one.
+func (e Send) Attempt() int { return e.number }
+
+// Call returns the call to send.
+func (e Send) Call() *Call { return e.call }
+
+// Upstream returns where the attempt goes.
+func (e Send) Upstream() Upstream { return e.upstream }
+
+// Team returns the name of the team whose key the call has, empty for a public route.
+func (e Send) Team() string { return e.team }
+
+// Rank returns the urgency from zero, the most urgent, to nine.
+func (e Send) Rank() int { return e.rank }
+
+// MaxConns returns how many connections to the upstream this gateway may hold.
+func (e Send) MaxConns() int { return e.maxConns }
+
+// Resume returns the id of the event after which the stream goes on, empty for its start.
+func (e Send) Resume() string { return e.resume }
+
+// Deadline returns when the answer is of no use any more.
+func (e Send) Deadline() time.Time { return e.deadline }
+
+// Streaming reports whether the answer is a stream of events.
+func (e Send) Streaming() bool { return e.route.streaming }
--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,67 @@
+package gateway
+
+import "time"
+
+// Fleet is what there is of a service whose upstreams can be ordered.
+type Fleet struct {
+	service *Service
+	counts  map[fleetKey]int
+	total   int
+}
+
+type fleetKey struct {
+	domain string
+	spot   bool
+}
+
+// Service returns the service's name.
+func (f *Fleet) Service() string { return f.service.name }
+
+// Least returns the least number of upstreams in a failure domain.
+func (f *Fleet) Least() int { return f.service.scaling.least }
+
+// Most returns the largest number of upstreams in a failure domain.
+func (f *Fleet) Most() int { return f.service.scaling.most }
+
+// Boot returns how long a new upstream takes until it serves.
+func (f *Fleet) Boot() time.Duration { return f.service.scaling.boot }
+
+// Prices returns the price of an upstream by failure domain.
+func (f *Fleet) Prices() map[string]float64 { return f.service.scaling.prices }
+
+// Count returns the upstreams in the domain that take requests, by whether the cloud may reclaim them.
+func (f *Fleet) Count(domain string, spot bool) int { return f.counts[fleetKey{domain, spot}] }
+
+// Total returns all upstreams that take requests.
+func (f *Fleet) Total() int { return f.total }
+
+// Fleets returns the services whose upstreams can be ordered.
+func (s *State) Fleets() []*Fleet {
+	var fleets []*Fleet
+	if s.catalogue == nil || !s.listed {
+		return nil
+	}
+	for _, service := range s.catalogue.services {
+		if service.scaling == nil {
+			continue
+		}
+		f := &Fleet{service: service, counts: map[fleetKey]int{}}
+		for _, t := range s.roster.group(service.name) {
+			if !t.leaving {
+				f.counts[fleetKey{t.domain, t.spot}]++
+				f.total++
+			}
+		}
+		fleets = append(fleets, f)
+	}
+	return fleets
+}
+
+// Demand returns the prompt tokens that arrived at all gateways since their starts.
+func (s *State) Demand() int64 {
+	total := s.demand
+	for _, p := range s.peers {
+		total += p.digest.demand
+	}
+	return total
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,77 @@
+package gateway
+
+import "time"
+
+// Settings says how one gateway runs.
+type Settings struct {
+	name        string
+	domain      string
+	incarnation string
+	start       time.Time
+	// retryRatio and retryExtra bound the sends beyond the first of each request, over all gateways.
+	retryRatio, retryExtra float64
+	// quotaSlack is what a team's tokens may exceed its burst by, over all gateways.
+	quotaSlack float64
+	// usageWindow is the length of a window of the usage reports.
+	usageWindow time.Duration
+	// lease is how long the holder of a duty keeps it unrenewed.
+	lease time.Duration
+	// heartbeat is the time between two entries of one upstream.
+	heartbeat time.Duration
+	// exposeShare and exposeSlack bound the requests to a version that is on trial.
+	exposeShare, exposeSlack float64
+	domains                  []string
+}
+
+// NewSettings returns the settings of the named gateway in the failure domain; the incarnation is new for each start.
+func NewSettings(name, domain, incarnation string, start time.Time) Settings {
+	return Settings{name: name, domain: domain, incarnation: incarnation, start: start, usageWindow: defaultUsageWindow, lease: defaultLease, heartbeat: defaultHeartbeat}
+}
+
+const (
+	// defaultUsageWindow is the length of a usage window where the settings name none.
+	defaultUsageWindow = 5 * time.Second
+	// defaultLease is the time-out of a lease where the settings name none.
+	defaultLease = 3 * time.Second
+	// defaultHeartbeat is the time between two entries of an upstream where the settings name none.
+	defaultHeartbeat = 1200 * time.Millisecond
+)
+
+// WithRetries returns a copy with the ratio and the number of extra sends in a window of ten seconds, over all gateways.
+func (s Settings) WithRetries(ratio, extra float64) Settings {
+	s.retryRatio, s.retryExtra = ratio, extra
+	return s
+}
+
+// WithQuotaSlack returns a copy with the tokens by which all gateways may exceed a burst.
+func (s Settings) WithQuotaSlack(slack float64) Settings { s.quotaSlack = slack; return s }
+
+// WithDuties returns a copy with the length of a usage window and the time-out of a lease.
+func (s Settings) WithDuties(window, lease time.Duration) Settings {
+	s.usageWindow, s.lease = window, lease
+	return s
+}
+
+// WithHeartbeat returns a copy with the time between two entries of an upstream.
+func (s Settings) WithHeartbeat(d time.Duration) Settings { s.heartbeat = d; return s }
+
+// WithExposure returns a copy with the share and the number of requests that a version on trial may get.
+func (s Settings) WithExposure(share, slack float64) Settings {
+	s.exposeShare, s.exposeSlack = share, slack
+	return s
+}
+
+// WithDomains returns a copy with all failure domains.
+func (s Settings) WithDomains(domains []string) Settings { s.domains = domains; return s }
+
+// Lease returns how long the holder of a duty keeps it unrenewed.
+func (s Settings) Lease() time.Duration { return s.lease }
+
+// Name returns the gateway's name.
+func (s Settings) Name() string { return s.name }
+
+// Domain returns the gateway's failure domain.
+func (s Settings) Domain() string { return s.domain }
+
+// Incarnation tells the starts of the gateway apart.
+func (s Settings) Incarnation() string { return s.incarnation }
--- /dev/null
+++ b/gateway/watcher.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dandelionrail.org/rail"
+)
+
+// Record is the newest record of a key; without a value the key is dropped.
+type Record struct {
+	key    string
+	value  []byte
+	offset int64
+}
+
+// NewRecord returns the record.
+func NewRecord(key string, value []byte, offset int64) Record {
+	return Record{key: key, value: value, offset: offset}
+}
+
+// Key returns the key.
+func (r Record) Key() string { return r.key }
+
+// Value returns the value, empty if the key is dropped.
+func (r Record) Value() []byte { return r.value }
+
+// Offset returns the record's place in its topic.
+func (r Record) Offset() int64 { return r.offset }
+
+// Batch is what one read of a topic returned, in the order of the offsets.
+type Batch struct {
+	records []Record
+	next    int64
+}
+
+// NewBatch returns the records and the offset to read from next.
+func NewBatch(records []Record, next int64) Batch { return Batch{records: records, next: next} }
+
+// Records returns the records.
+func (b Batch) Records() []Record { return b.records }
+
+// Next returns the offset to read from next.
+func (b Batch) Next() int64 { return b.next }
+
+// ErrCompacted tells that records from the offset on are gone; the newest of each key are still there.
+var ErrCompacted = errors.New("Read: the records are gone")
+
+// Topic is a topic of the store that keeps the newest record of each key.
+type Topic interface {
+	// Name returns the topic's name.
+	Name() string
+	// Read returns the records from the offset on and waits at most wait for the first.
+	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Batch, error)
+	// Events returns what the records say; whole says that there are no other keys, source who gave them.
+	Events(records []Record, whole bool, source string) []Event
+}
+
+// Mirrors asks peers for what they have read.
+type Mirrors interface {
+	// Mirror returns the newest records of the topic from the offset on as a peer knows them, and the peer's name.
+	Mirror(ctx context.Context, topic string, from int64) (Batch, string, error)
+}
+
+// Watcher follows a topic; while the store does not answer, it asks peers that still reach it.
+type Watcher struct {
+	topic    Topic
+	gateway  *Gateway
+	mirrors  Mirrors
+	interval time.Duration
+	wait     time.Duration
+
+	mu     sync.Mutex
+	newest map[string]Record
+	next   int64
+	known  bool
+}
+
+const (
+	// readTimeout bounds a read of the store beyond the time that it waits for a record.
+	readTimeout = 700 * time.Millisecond
+	// failedInterval is the time between reads while the store does not answer.
+	failedInterval = 300 * time.Millisecond
+)
+
+// NewWatcher returns a watcher that reads the topic again after the interval and lets each read wait for a record; Run must be started.
+func NewWatcher(t Topic, g *Gateway, m Mirrors, interval, wait time.Duration) *Watcher {
+	return &Watcher{topic: t, gateway: g, mirrors: m, interval: interval, wait: wait, newest: map[string]Record{}}
+}
+
+// Run follows the topic until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := w.interval
+		if err := w.read(ctx); err != nil {
+			w.gateway.Post(NewStoreReached(errors.Wrap(err, w.topic.Name())))
+			w.mirror(ctx)
+			pause = failedInterval
+		} else {
+			w.gateway.Post(NewStoreReached(nil))
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (w *Watcher) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, w.wait+readTimeout)
+	defer cancel()
+	if w.known {
+		b, err := w.topic.Read(ctx, w.next, w.wait)
+		if err == nil {
+			w.apply(b, false, "store")
+			return nil
+		}
+		if !errors.Is(err, ErrCompacted) {
+			return err
+		}
+	}
+	b, err := w.topic.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	w.apply(b, true, "store")
+	return nil
+}
+
+// mirror takes what a peer has read beyond what is known here.
+func (w *Watcher) mirror(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	b, name, err := w.mirrors.Mirror(ctx, w.topic.Name(), w.next)
+	if err != nil {
+		w.gateway.log.Write(rail.EventPeerUnreachable, NewField("topic", w.topic.Name()), NewField("error", err.Error()))
+		return
+	}
+	w.apply(b, !w.known, name)
+}
+
+// apply takes in what was read; a whole batch replaces all that is known.
+func (w *Watcher) apply(b Batch, whole bool, source string) {
+	w.mu.Lock()
+	if whole {
+		clear(w.newest)
+	}
+	for _, r := range b.records {
+		w.newest[r.key] = r
+	}
+	w.next, w.known = max(w.next, b.next), true
+	w.mu.Unlock()
+	if len(b.records) == 0 && !whole {
+		return
+	}
+	for _, e := range w.topic.Events(b.records, whole, source) {
+		w.gateway.Post(e)
+	}
+}
+
+// Newer returns the newest records from the offset on, and false before the first read.
+func (w *Watcher) Newer(from int64) (Batch, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var records []Record
+	for _, r := range w.newest {
+		if r.offset >= from {
+			records = append(records, r)
+		}
+	}
+	return Batch{records: records, next: w.next}, w.known
+}
+
+// ErrConflict tells that a conditional append found another end of the topic.
+var ErrConflict = errors.New("Append: the topic ends elsewhere")
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,149 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/gateway"
+	"dandelionrail.org/rail/gen/railv1"
+	"dandelionrail.org/rail/gen/railv1/railv1connect"
+)
+
+const (
+	// Interval is the time between two exchanges with a peer in a small fleet.
+	Interval = 400 * time.Millisecond
+	// exchangeTimeout bounds an exchange or a mirror call: some round trips between failure domains.
+	exchangeTimeout = 350 * time.Millisecond
+	// idleTimeout ends idle connections to peers.
+	idleTimeout = 5 * time.Second
+	// mostPeers bounds the peers of one round, so that the cost of a gateway does not grow with the fleet.
+	mostPeers = 10
+	// maxMessageBytes bounds a message.
+	maxMessageBytes = 8 << 20
+	// mirrorsAsked is the number of peers that a mirror call tries.
+	mirrorsAsked = 2
+)
+
+// Gossip exchanges digests with the peers that the store lists.
+type Gossip struct {
+	gateway *gateway.Gateway
+	log     gateway.Log
+	group   rail.Group
+	client  *http.Client
+	away    map[string]bool
+}
+
+var _ gateway.Mirrors = (*Gossip)(nil)
+
+// New returns the gossip of a gateway; Run must be started.
+func New(g *gateway.Gateway, log gateway.Log, group rail.Group) *Gossip {
+	dialer := &net.Dialer{Timeout: exchangeTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	return &Gossip{
+		gateway: g, log: log, group: group, client: &http.Client{Transport: transport, Timeout: exchangeTimeout},
+		away: map[string]bool{},
+	}
+}
+
+// Run exchanges digests until the context ends.
+func (g *Gossip) Run(ctx context.Context) {
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.round(ctx)
+		}
+	}
+}
+
+// round exchanges digests with some peers and waits for all answers.
+func (g *Gossip) round(ctx context.Context) {
+	var peers map[string]string
+	g.gateway.View(func(s *gateway.State) { peers = s.Peers() })
+	names := make([]string, 0, len(peers))
+	for name := range peers {
+		names = append(names, name)
+	}
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	names = names[:min(len(names), mostPeers)]
+	results := make(chan result, len(names))
+	digest := g.gateway.Digest().Message()
+	for _, name := range names {
+		g.group.Go(func(context.Context) { results <- result{name, g.exchange(ctx, peers[name], digest)} })
+	}
+	failed := false
+	for range names {
+		r := <-results
+		g.note(r)
+		failed = failed || r.err != nil
+	}
+	if failed {
+		g.client.CloseIdleConnections() // A connection may have gone silent while new ones work.
+	}
+}
+
+// result is what came of an exchange.
+type result struct {
+	name string
+	err  error
+}
+
+// note logs a peer that is lost or regained.
+func (g *Gossip) note(r result) {
+	switch {
+	case r.err != nil && !g.away[r.name]:
+		g.away[r.name] = true
+		g.log.Write(rail.EventPeerUnreachable, gateway.NewField("peer", r.name), gateway.NewField("error", r.err.Error()))
+	case r.err == nil && g.away[r.name]:
+		delete(g.away, r.name)
+		g.log.Write(rail.EventPeerReachable, gateway.NewField("peer", r.name))
+	}
+}
+
+func (g *Gossip) service(address string) railv1connect.GatewayServiceClient {
+	return railv1connect.NewGatewayServiceClient(g.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+func (g *Gossip) exchange(ctx context.Context, address string, d *railv1.GatewayDigest) error {
+	r, err := g.service(address).Exchange(ctx, connect.NewRequest(&railv1.ExchangeDigestRequest{Digest: d}))
+	if err != nil {
+		return errors.Wrap(err, "Gossip.exchange")
+	}
+	g.gateway.Post(gateway.NewDigestHeard(gateway.DigestFrom(r.Msg.GetDigest())))
+	return nil
+}
+
+// Mirror implements gateway.Mirrors.
+func (g *Gossip) Mirror(ctx context.Context, topic string, from int64) (gateway.Batch, string, error) {
+	var peers map[string]string
+	var readers []string
+	g.gateway.View(func(s *gateway.State) { peers, readers = s.Peers(), s.Readers() })
+	rand.Shuffle(len(readers), func(i, j int) { readers[i], readers[j] = readers[j], readers[i] })
+	err := errors.New("Gossip.Mirror: no peer reaches the store")
+	for _, name := range readers[:min(len(readers), mirrorsAsked)] {
+		r, callErr := g.service(peers[name]).Mirror(ctx, connect.NewRequest(&railv1.MirrorRequest{Topic: topic, From: from}))
+		if callErr != nil {
+			err = errors.Wrap(callErr, "Gossip.Mirror")
+			continue
+		}
+		if !r.Msg.GetKnown() {
+			continue
+		}
+		records := make([]gateway.Record, 0, len(r.Msg.GetRecords()))
+		for _, x := range r.Msg.GetRecords() {
+			records = append(records, gateway.NewRecord(x.GetKey(), x.GetValue(), x.GetOffset()))
+		}
+		return gateway.NewBatch(records, r.Msg.GetNext()), name, nil
+	}
+	return gateway.Batch{}, "", err
+}
--- /dev/null
+++ b/gossip/server.go
@@ -0,0 +1,51 @@
+package gossip
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"dandelionrail.org/rail/gateway"
+	"dandelionrail.org/rail/gen/railv1"
+	"dandelionrail.org/rail/gen/railv1/railv1connect"
+)
+
+// Server answers the calls of peers.
+type Server struct {
+	gateway  *gateway.Gateway
+	watchers map[string]*gateway.Watcher
+}
+
+var _ railv1connect.GatewayServiceHandler = (*Server)(nil)
+
+// NewServer returns the server of a gateway; the watchers are those of the topics that peers may mirror.
+func NewServer(g *gateway.Gateway, watchers map[string]*gateway.Watcher) *Server {
+	return &Server{gateway: g, watchers: watchers}
+}
+
+// Mount serves the calls on the mux.
+func (s *Server) Mount(mux *http.ServeMux) {
+	mux.Handle(railv1connect.NewGatewayServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(maxMessageBytes)))
+}
+
+// Exchange takes a peer's digest and returns this gateway's.
+func (s *Server) Exchange(_ context.Context, r *connect.Request[railv1.ExchangeDigestRequest]) (*connect.Response[railv1.ExchangeDigestResponse], error) {
+	s.gateway.Post(gateway.NewDigestHeard(gateway.DigestFrom(r.Msg.GetDigest())))
+	return connect.NewResponse(&railv1.ExchangeDigestResponse{Digest: s.gateway.Digest().Message()}), nil
+}
+
+// Mirror returns the newest records of a topic.
+func (s *Server) Mirror(_ context.Context, r *connect.Request[railv1.MirrorRequest]) (*connect.Response[railv1.MirrorResponse], error) {
+	w, ok := s.watchers[r.Msg.GetTopic()]
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("Mirror: unknown topic"))
+	}
+	b, known := w.Newer(r.Msg.GetFrom())
+	m := &railv1.MirrorResponse{Next: b.Next(), Known: known}
+	for _, x := range b.Records() {
+		m.Records = append(m.Records, &railv1.MirrorRecord{Key: x.Key(), Value: x.Value(), Offset: x.Offset()})
+	}
+	return connect.NewResponse(m), nil
+}
--- a/kind.go
+++ b/kind.go
@@ -20,32 +20,38 @@
 
 // The closed list of error kinds.
 const (
-	KindNone              Kind = ""
-	KindBadRequest        Kind = "badRequest"
-	KindTooLarge          Kind = "tooLarge"
-	KindUnknownTeam       Kind = "unknownTeam"
-	KindUnknownRoute      Kind = "unknownRoute"
-	KindUnknownModel      Kind = "unknownModel"
-	KindUnknownAnswer     Kind = "unknownAnswer"
-	KindTicketRequired    Kind = "ticketRequired"
-	KindForeignTicket     Kind = "foreignTicket"
-	KindUnknownTicket     Kind = "unknownTicket"
-	KindKeyExpired        Kind = "keyExpired"
-	KindKeyForgotten      Kind = "keyForgotten"
-	KindKeyPending        Kind = "keyPending"
-	KindKeyReused         Kind = "keyReused"
-	KindOutcomesFull      Kind = "outcomesFull"
-	KindAnswerNotKept     Kind = "answerNotKept"
-	KindLimited           Kind = "limited"
-	KindOverloaded        Kind = "overloaded"
-	KindNoUpstream        Kind = "noUpstream"
-	KindNotReady          Kind = "notReady"
-	KindLeaving           Kind = "leaving"
-	KindMoved             Kind = "moved"
-	KindPlatformAway      Kind = "platformAway"
-	KindUpstreamRefused   Kind = "upstreamRefused"
-	KindUpstreamFailed    Kind = "upstreamFailed"
-	KindUpstreamSilent    Kind = "upstreamSilent"
+	KindNone            Kind = ""
+	KindBadRequest      Kind = "badRequest"
+	KindTooLarge        Kind = "tooLarge"
+	KindUnknownTeam     Kind = "unknownTeam"
+	KindUnknownRoute    Kind = "unknownRoute"
+	KindUnknownModel    Kind = "unknownModel"
+	KindUnknownAnswer   Kind = "unknownAnswer"
+	KindTicketRequired  Kind = "ticketRequired"
+	KindForeignTicket   Kind = "foreignTicket"
+	KindUnknownTicket   Kind = "unknownTicket"
+	KindKeyExpired      Kind = "keyExpired"
+	KindKeyForgotten    Kind = "keyForgotten"
+	KindKeyPending      Kind = "keyPending"
+	KindKeyReused       Kind = "keyReused"
+	KindOutcomesFull    Kind = "outcomesFull"
+	KindAnswerNotKept   Kind = "answerNotKept"
+	KindLimited         Kind = "limited"
+	KindOverloaded      Kind = "overloaded"
+	KindNoUpstream      Kind = "noUpstream"
+	KindNotReady        Kind = "notReady"
+	KindLeaving         Kind = "leaving"
+	KindMoved           Kind = "moved"
+	KindPlatformAway    Kind = "platformAway"
+	KindUpstreamRefused Kind = "upstreamRefused"
+	KindUpstreamFailed  Kind = "upstreamFailed"
+	KindUpstreamSilent  Kind = "upstreamSilent"
+	// KindUpstreamUnreachable is a connection that was not established, so that nothing was sent.
+	KindUpstreamUnreachable Kind = "upstreamUnreachable"
+	// KindUpstreamFull is an upstream that turned the request away before work.
+	KindUpstreamFull Kind = "upstreamFull"
+	// KindUpstreamReplaced is an address that another upstream has by now.
+	KindUpstreamReplaced  Kind = "upstreamReplaced"
 	KindIssuerGone        Kind = "issuerGone"
 	KindIssuerUnreachable Kind = "issuerUnreachable"
 	KindDeadlinePassed    Kind = "deadlinePassed"
@@ -89,39 +95,42 @@
 
 // replies is the table from kind to answer.
 var replies = map[Kind]Reply{
-	KindBadRequest:        {http.StatusBadRequest, "invalid_argument", NotRun, 0, "mend the request as the message says"},
-	KindTooLarge:          {http.StatusRequestEntityTooLarge, "resource_exhausted", NotRun, 0, "send a smaller body"},
-	KindUnknownTeam:       {http.StatusUnauthorized, "unauthenticated", NotRun, 0, "send the bearer token of a team in the document in force"},
-	KindUnknownRoute:      {http.StatusNotFound, "not_found", NotRun, 0, "use a route of the document in force"},
-	KindUnknownModel:      {http.StatusNotFound, "not_found", NotRun, 0, "use a model of the document in force"},
-	KindUnknownAnswer:     {http.StatusNotFound, "not_found", Unknown, 0, "use the answer id that the first reply carried"},
-	KindTicketRequired:    {http.StatusPreconditionRequired, "failed_precondition", NotRun, 0, "ask POST /v1/tickets for a ticket, or send an Idempotency-Key"},
-	KindForeignTicket:     {http.StatusForbidden, "permission_denied", NotRun, 0, "use a ticket that was issued to this team"},
-	KindUnknownTicket:     {http.StatusBadRequest, "invalid_argument", NotRun, 0, "ask POST /v1/tickets for a ticket"},
-	KindKeyExpired:        {http.StatusGone, "failed_precondition", NotRun, 0, "send a UUID of version 7 made for this order within the key window"},
-	KindKeyForgotten:      {http.StatusGone, "unknown", Unknown, 0, "check the order by hand; its key is older than the records"},
-	KindKeyPending:        {http.StatusConflict, "aborted", Unknown, shortRetry, "ask again with the same key"},
-	KindKeyReused:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "use a new key for another order"},
-	KindOutcomesFull:      {http.StatusServiceUnavailable, "resource_exhausted", NotRun, longRetry, "try again later"},
-	KindAnswerNotKept:     {http.StatusGone, "out_of_range", Ran, 0, "the order ran; its answer was too large to be kept"},
-	KindLimited:           {http.StatusTooManyRequests, "resource_exhausted", NotRun, shortRetry, "stay within the limit of the team"},
-	KindOverloaded:        {http.StatusServiceUnavailable, "resource_exhausted", NotRun, shortRetry, "try again later"},
-	KindNoUpstream:        {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again; no upstream of this route can be reached"},
-	KindNotReady:          {http.StatusServiceUnavailable, "unavailable", NotRun, 0, "try another entry"},
-	KindLeaving:           {http.StatusServiceUnavailable, "unavailable", NotRun, 0, "try another entry"},
-	KindMoved:             {http.StatusServiceUnavailable, "unavailable", Unknown, 0, "ask any entry for GET /v1/answers/ and the request id"},
-	KindPlatformAway:      {http.StatusServiceUnavailable, "unavailable", NotRun, longRetry, "send the order with a ticket from POST /v1/tickets instead of a key"},
-	KindUpstreamRefused:   {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
-	KindUpstreamFailed:    {http.StatusBadGateway, "internal", Unknown, 0, "ask for the outcome before sending anything again"},
-	KindUpstreamSilent:    {http.StatusGatewayTimeout, "deadline_exceeded", Unknown, 0, "ask for the outcome before sending anything again"},
-	KindIssuerGone:        {http.StatusGone, "unknown", Unknown, 0, "check the order by hand; its entry is gone"},
-	KindIssuerUnreachable: {http.StatusServiceUnavailable, "unknown", Unknown, shortRetry, "ask again with the same ticket"},
-	KindDeadlinePassed:    {http.StatusGatewayTimeout, "deadline_exceeded", Unknown, 0, "ask for the outcome before sending anything again"},
-	KindCancelled:         {statusCancelled, "canceled", Unknown, 0, "the caller went away"},
-	KindBadDocument:       {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "mend the faults listed"},
-	KindStaleBase:         {http.StatusConflict, "aborted", NotRun, 0, "read the document in force and publish on top of it"},
-	KindBadSettings:       {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "mend the settings listed"},
-	KindInternal:          {http.StatusInternalServerError, "internal", Unknown, 0, "report the request id"},
+	KindBadRequest:          {http.StatusBadRequest, "invalid_argument", NotRun, 0, "mend the request as the message says"},
+	KindTooLarge:            {http.StatusRequestEntityTooLarge, "resource_exhausted", NotRun, 0, "send a smaller body"},
+	KindUnknownTeam:         {http.StatusUnauthorized, "unauthenticated", NotRun, 0, "send the bearer token of a team in the document in force"},
+	KindUnknownRoute:        {http.StatusNotFound, "not_found", NotRun, 0, "use a route of the document in force"},
+	KindUnknownModel:        {http.StatusNotFound, "not_found", NotRun, 0, "use a model of the document in force"},
+	KindUnknownAnswer:       {http.StatusNotFound, "not_found", Unknown, 0, "use the answer id that the first reply carried"},
+	KindTicketRequired:      {http.StatusPreconditionRequired, "failed_precondition", NotRun, 0, "ask POST /v1/tickets for a ticket, or send an Idempotency-Key"},
+	KindForeignTicket:       {http.StatusForbidden, "permission_denied", NotRun, 0, "use a ticket that was issued to this team"},
+	KindUnknownTicket:       {http.StatusBadRequest, "invalid_argument", NotRun, 0, "ask POST /v1/tickets for a ticket"},
+	KindKeyExpired:          {http.StatusGone, "failed_precondition", NotRun, 0, "send a UUID of version 7 made for this order within the key window"},
+	KindKeyForgotten:        {http.StatusGone, "unknown", Unknown, 0, "check the order by hand; its key is older than the records"},
+	KindKeyPending:          {http.StatusConflict, "aborted", Unknown, shortRetry, "ask again with the same key"},
+	KindKeyReused:           {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "use a new key for another order"},
+	KindOutcomesFull:        {http.StatusServiceUnavailable, "resource_exhausted", NotRun, longRetry, "try again later"},
+	KindAnswerNotKept:       {http.StatusGone, "out_of_range", Ran, 0, "the order ran; its answer was too large to be kept"},
+	KindLimited:             {http.StatusTooManyRequests, "resource_exhausted", NotRun, shortRetry, "stay within the limit of the team"},
+	KindOverloaded:          {http.StatusServiceUnavailable, "resource_exhausted", NotRun, shortRetry, "try again later"},
+	KindNoUpstream:          {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again; no upstream of this route can be reached"},
+	KindNotReady:            {http.StatusServiceUnavailable, "unavailable", NotRun, 0, "try another entry"},
+	KindLeaving:             {http.StatusServiceUnavailable, "unavailable", NotRun, 0, "try another entry"},
+	KindMoved:               {http.StatusServiceUnavailable, "unavailable", Unknown, 0, "ask any entry for GET /v1/answers/ and the request id"},
+	KindPlatformAway:        {http.StatusServiceUnavailable, "unavailable", NotRun, longRetry, "send the order with a ticket from POST /v1/tickets instead of a key"},
+	KindUpstreamRefused:     {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
+	KindUpstreamFailed:      {http.StatusBadGateway, "internal", Unknown, 0, "ask for the outcome before sending anything again"},
+	KindUpstreamSilent:      {http.StatusGatewayTimeout, "deadline_exceeded", Unknown, 0, "ask for the outcome before sending anything again"},
+	KindUpstreamUnreachable: {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
+	KindUpstreamFull:        {http.StatusServiceUnavailable, "resource_exhausted", NotRun, shortRetry, "try again later"},
+	KindUpstreamReplaced:    {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
+	KindIssuerGone:          {http.StatusGone, "unknown", Unknown, 0, "check the order by hand; its entry is gone"},
+	KindIssuerUnreachable:   {http.StatusServiceUnavailable, "unknown", Unknown, shortRetry, "ask again with the same ticket"},
+	KindDeadlinePassed:      {http.StatusGatewayTimeout, "deadline_exceeded", Unknown, 0, "ask for the outcome before sending anything again"},
+	KindCancelled:           {statusCancelled, "canceled", Unknown, 0, "the caller went away"},
+	KindBadDocument:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "mend the faults listed"},
+	KindStaleBase:           {http.StatusConflict, "aborted", NotRun, 0, "read the document in force and publish on top of it"},
+	KindBadSettings:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "mend the settings listed"},
+	KindInternal:            {http.StatusInternalServerError, "internal", Unknown, 0, "report the request id"},
 }
 
 // Reply returns the row of the table for the kind; an unlisted kind is answered as internal.
--- a/number.go
+++ b/number.go
@@ -68,6 +68,28 @@
 
 	// Peers.
 	EventPeerUnreachable Number = 1100
+	EventPeerReachable   Number = 1101
+
+	// Gateway.
+	EventSettingsReloaded Number = 1200
+	EventListenFailed     Number = 1201
+	EventCatalogueInForce Number = 1210
+	EventRecordSkipped    Number = 1211
+	EventUpstreamListed   Number = 1220
+	EventUpstreamLeaving  Number = 1221
+	EventUpstreamLapsed   Number = 1222
+	EventUpstreamGone     Number = 1223
+	EventAttemptSent      Number = 1230
+	EventAttemptEnded     Number = 1231
+	EventRequestServed    Number = 1232
+	EventCallerGone       Number = 1233
+	EventRolloutOrdered   Number = 1240
+	EventRolloutVerdict   Number = 1241
+	EventDutyTaken        Number = 1250
+	EventDutyLost         Number = 1251
+	EventUsageReported    Number = 1252
+	EventUpstreamsOrdered Number = 1253
+	EventLinesDropped     Number = 1260
 )
 
 // titles is the catalogue of log events.
@@ -124,6 +146,27 @@
 	EventPlatformBack: "platform is back",
 
 	EventPeerUnreachable: "peer cannot be reached",
+	EventPeerReachable:   "peer is reached again",
+
+	EventSettingsReloaded: "settings read again",
+	EventListenFailed:     "listener failed, it is tried again",
+	EventCatalogueInForce: "configuration in force",
+	EventRecordSkipped:    "record of the store skipped",
+	EventUpstreamListed:   "upstream listed",
+	EventUpstreamLeaving:  "upstream is leaving",
+	EventUpstreamLapsed:   "upstream's entry expired around an outage of the store, it is still used",
+	EventUpstreamGone:     "upstream is gone",
+	EventAttemptSent:      "call sent to an upstream",
+	EventAttemptEnded:     "attempt of a call failed",
+	EventRequestServed:    "call answered by an upstream",
+	EventCallerGone:       "caller went away",
+	EventRolloutOrdered:   "rollout ordered",
+	EventRolloutVerdict:   "verdict on a rollout",
+	EventDutyTaken:        "lease on the duties taken",
+	EventDutyLost:         "lease on the duties lost",
+	EventUsageReported:    "usage of a window reported",
+	EventUpstreamsOrdered: "number of upstreams ordered",
+	EventLinesDropped:     "log lines dropped",
 }
 
 // Title returns the event's title in the catalogue, empty for a number that is not listed.
--- a/platform/client_test.go
+++ b/outside/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package outside_test
 
 import (
 	"context"
@@ -10,11 +10,11 @@
 	"github.com/matryer/is"
 
 	"dandelionrail.org/rail"
-	"dandelionrail.org/rail/platform"
+	"dandelionrail.org/rail/outside"
 )
 
 // serve answers every call with the status and body and hands out what was asked.
-func serve(t *testing.T, status int, body string) (*platform.Client, *string) {
+func serve(t *testing.T, status int, body string) (*outside.Client, *string) {
 	t.Helper()
 	asked := ""
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -23,7 +23,7 @@
 		_, _ = w.Write([]byte(body))
 	}))
 	t.Cleanup(s.Close)
-	return platform.New(s.URL+"/", s.Client()), &asked
+	return outside.New(s.URL+"/", s.Client()), &asked
 }
 
 func TestRead(t *testing.T) {
--- a/platform/cloud.go
+++ b/outside/cloud.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
--- a/platform/environment_test.go
+++ b/outside/environment_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package outside_test
 
 import (
 	"net/http"
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"dandelionrail.org/rail"
-	"dandelionrail.org/rail/platform"
+	"dandelionrail.org/rail/outside"
 	standin "dandelionrail.org/rail/standin/platform"
 )
 
@@ -17,8 +17,8 @@
 	is := is.New(t)
 	server := httptest.NewServer(standin.New(standin.Settings{}))
 	defer server.Close()
-	client := platform.New(server.URL, http.DefaultClient)
-	trial, production := platform.NewEnvironmentLog(client, "trial"), platform.NewEnvironmentLog(client, "production")
+	client := outside.New(server.URL, http.DefaultClient)
+	trial, production := outside.NewEnvironmentLog(client, "trial"), outside.NewEnvironmentLog(client, "production")
 	_, err := trial.Append(t.Context(), rail.RecordVerdict, []byte(`{}`))
 	is.NoErr(err)
 	_, err = production.Append(t.Context(), rail.RecordLease, []byte(`{}`))
@@ -37,6 +37,6 @@
 		return rail.NewInstance(id, "breno", rail.RoleEntry, "").WithServing(environment, "")
 	}
 	engine := rail.NewInstance("m1", "breno", rail.RoleEngine, "").WithServing("tin-writer", "v1")
-	ours := platform.EntriesOf("production", []rail.Instance{entry("a", "trial"), entry("b", "production"), engine})
+	ours := outside.EntriesOf("production", []rail.Instance{entry("a", "trial"), entry("b", "production"), engine})
 	is.Equal(ours, []rail.Instance{entry("b", "production"), engine})
 }
