Upstreams that left by themselves are not held after an outage of this gateway only

Now a removal may be a lapse only without a recent entry. Ruled out: late reads (the removal was read 0.1 s after it was made).

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -50,6 +50,8 @@
 	reportedWindows = 3
 	// orderRepeat is how long after an order it is made again if the upstreams have not come.
 	orderRepeat = 7 * time.Second
+	// settleTime is how long a new holder waits before it orders, so that it knows the upstreams.
+	settleTime = 2500 * time.Millisecond
 	// refusedRepeat is how long after a refusal an order is made again.
 	refusedRepeat = 2500 * time.Millisecond
 )
@@ -65,6 +67,7 @@
 	usage    bool
 	scale    bool
 	read     time.Duration
+	since    time.Duration // when the lease was taken
 	reported map[int64]bool
 	plans    map[string]*Plan
 	orders   map[orderKey]*order
@@ -160,6 +163,7 @@
 	}
 	taken, err := d.lease.Claimed(value, at, now)
 	if taken {
+		d.since = now
 		d.reported, d.orders = map[int64]bool{}, map[orderKey]*order{}
 		d.lines.Write(rail.EventDutyTaken, gateway.NewField("fence", d.lease.Fence()), gateway.NewField("offset", at))
 	}
@@ -285,6 +289,9 @@
 	for _, f := range services {
 		p, ok := d.plans[f.Service()]
 		if !ok {
+			if f.Total() == 0 || d.now()-d.since < settleTime {
+				continue // The upstreams that were there before are not all listed yet.
+			}
 			p = NewPlan(f.Least(), f.Most(), f.Total())
 			d.plans[f.Service()] = p
 		}
--- a/duty/plan.go
+++ b/duty/plan.go
@@ -7,13 +7,13 @@
 
 const (
 	// tokensPerUpstream is the prompt tokens a second that one engine takes beside the answers it writes.
-	tokensPerUpstream = 16_000
+	tokensPerUpstream = 13_000
 	// leastPerDomain is the least number of engines in a failure domain.
-	leastPerDomain = 3
+	leastPerDomain = 2
 	// leastOnDemand is the number of engines in each domain that the cloud does not reclaim.
-	leastOnDemand = 1
-	// shrinkTime is how long demand must stay below before upstreams are given back.
-	shrinkTime = 15 * time.Second
+	leastOnDemand = 0
+	// shrinkTime is how long demand must stay below before upstreams are given back, one at a time.
+	shrinkTime = 4 * time.Second
 )
 
 // Domain is what a failure domain has of one service.
@@ -48,8 +48,9 @@
 func (w Wanted) Count() int { return w.count }
 
 // Plan decides how many upstreams each failure domain gets: what the demand
-// needs, mostly reclaimable ones, with a floor of others that a reclaim
-// leaves; while a domain has no reclaimable ones, others stand in.
+// needs, as reclaimable ones in equal parts, so that the loss of one domain
+// takes the least. While a domain has none to be had, the others get its part,
+// which costs less than upstreams of the dear class in that domain.
 type Plan struct {
 	least, most int
 	need        int
@@ -76,18 +77,24 @@
 	if len(domains) == 0 {
 		return nil
 	}
-	each := (p.need + len(domains) - 1) / len(domains)
-	each = min(max(each, leastPerDomain, p.least), p.most)
-	var wanted []Wanted
+	healthy := 0
 	for _, d := range domains {
-		spot := each - leastOnDemand
-		standIn := 0
-		if d.spot < spot {
-			standIn = spot - d.spot
+		if !d.refused {
+			healthy++
 		}
-		onDemand := leastOnDemand + min(standIn, max(0, d.onDemand-leastOnDemand))
-		if d.refused {
-			onDemand = leastOnDemand + standIn
+	}
+	each := min(max((p.need+max(1, healthy)-1)/max(1, healthy), leastPerDomain, p.least), p.most)
+	var wanted []Wanted
+	for _, d := range domains {
+		floor := min(leastOnDemand, each)
+		spot := each - floor
+		missing := max(0, spot-d.spot)
+		onDemand := floor + min(missing, max(0, d.onDemand-floor)) // What is there stays until its successors serve.
+		if d.refused || healthy == 0 {
+			onDemand = max(floor, p.least)
+			if healthy == 0 {
+				onDemand = each
+			}
 		}
 		wanted = append(wanted, Wanted{d.name, true, spot}, Wanted{d.name, false, min(onDemand, p.most-spot)})
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -183,6 +183,9 @@
 
 // patience returns how long an attempt may stay without an answer while the call could go elsewhere.
 func (s *State) patience(p *progress, wait time.Duration) time.Duration {
+	if p.runs+1 >= p.route.attempts {
+		return 0 // The call could not go elsewhere.
+	}
 	if p.route.streaming {
 		if !p.route.mayResume() {
 			return 0
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -17,23 +17,22 @@
 	leavingSince time.Time
 	// lapsed is when the entry expired while the store was away, zero otherwise.
 	lapsed time.Time
-	seen   time.Time
+	// seen is when the last entry was read.
+	seen time.Time
 }
 
 // roster is the list of upstreams; what leaves stays so for one start.
 type roster struct {
-	targets map[string]*target
-	byGroup map[string][]*target
-	// gone holds the starts that were removed, so that a late entry does not bring them back.
-	gone map[string]int64
-
-	storeFailed time.Time // last failed read
-	storeBack   time.Time // end of the last outage
-	storeAway   bool
+	targets   map[string]*target
+	byGroup   map[string][]*target
+	heartbeat time.Duration
+
+	storeBack time.Time // end of the last outage
+	storeAway bool
 }
 
-func newRoster() *roster {
-	return &roster{targets: map[string]*target{}, byGroup: map[string][]*target{}, gone: map[string]int64{}}
+func newRoster(heartbeat time.Duration) *roster {
+	return &roster{targets: map[string]*target{}, byGroup: map[string][]*target{}, heartbeat: heartbeat}
 }
 
 // group returns the upstreams of a service.
@@ -42,9 +41,7 @@
 // storeReached notes whether the store answers, and reports whether that changed.
 func (r *roster) storeReached(ok bool, now time.Time) bool {
 	changed := ok == r.storeAway
-	if !ok {
-		r.storeFailed = now
-	} else if r.storeAway {
+	if ok && r.storeAway {
 		r.storeBack = now
 	}
 	r.storeAway = !ok
@@ -54,12 +51,19 @@
 const (
 	// lapseHold is how long an upstream whose entry expired during an outage of the store is still used after its return: entries are back within two seconds.
 	lapseHold = 2200 * time.Millisecond
+	// lapseHeartbeats is the heartbeats without an entry after which one may have lapsed; the store drops it after three.
+	lapseHeartbeats = 2
 	// lapseReach is how long after an outage a removal may stem from it.
 	lapseReach = 4 * time.Second
 )
 
-// mayBeLapse reports whether a removal now may come from an outage of the store.
-func (r *roster) mayBeLapse(now time.Time) bool {
+// mayBeLapse reports whether a removal now may come from an outage of the
+// store: an upstream whose last entry is recent has left by itself, also if
+// only this gateway was turned away.
+func (r *roster) mayBeLapse(t *target, now time.Time) bool {
+	if now.Sub(t.seen) < lapseHeartbeats*r.heartbeat {
+		return false
+	}
 	return r.storeAway || (!r.storeBack.IsZero() && now.Sub(r.storeBack) < lapseReach)
 }
 
@@ -90,9 +94,6 @@
 	if ok && t.born > u.born {
 		return nil // An entry of an earlier start.
 	}
-	if born, removed := r.gone[u.id]; removed && born >= u.born && u.born != 0 && !r.mayBeLapse(now) && u.leaving {
-		return nil
-	}
 	if !ok || t.born != u.born {
 		fresh := &target{Upstream: u, seen: now, cache: newCache()}
 		if ok {
@@ -125,7 +126,7 @@
 	if !ok || !t.lapsed.IsZero() {
 		return nil
 	}
-	if r.mayBeLapse(now) && !t.leaving {
+	if r.mayBeLapse(t, now) && !t.leaving {
 		t.lapsed = now
 		return []Effect{report(rail.EventUpstreamLapsed, upstreamFields(t.Upstream, source)...)}
 	}
@@ -163,7 +164,6 @@
 }
 
 func (r *roster) forget(t *target) {
-	r.gone[t.id] = t.born
 	delete(r.targets, t.id)
 	r.drop(t)
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -32,7 +32,7 @@
 // NewState returns the state of a gateway that knows nothing yet.
 func NewState(s Settings) *State {
 	return &State{
-		settings: s, now: s.start, roster: newRoster(), clock: newClock(s.start), quotas: map[string]*quota{},
+		settings: s, now: s.start, roster: newRoster(s.heartbeat), clock: newClock(s.start), quotas: map[string]*quota{},
 		budgets: map[string]*budget{}, calls: map[*Call]*progress{}, peers: map[string]*peer{}, registered: map[string]string{},
 		tokens: map[string]int64{}, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{},
 	}
