Removals are lapses only in an outage that all gateways saw

What a peer reads meanwhile tells: then only this gateway was turned away. The hold ends 2.2 s after the store's return.

--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -17,22 +17,21 @@
 	leavingSince time.Time
 	// lapsed is when the entry expired while the store was away, zero otherwise.
 	lapsed time.Time
-	// seen is when the last entry was read.
-	seen time.Time
 }
 
 // roster is the list of upstreams; what leaves stays so for one start.
 type roster struct {
-	targets   map[string]*target
-	byGroup   map[string][]*target
-	heartbeat time.Duration
-
-	storeBack time.Time // end of the last outage
-	storeAway bool
+	targets map[string]*target
+	byGroup map[string][]*target
+	// storeLost and storeBack are the start and the end of the last outage of the store.
+	storeLost, storeBack time.Time
+	storeAway            bool
+	// partial says that a peer read the store in the last outage.
+	partial bool
 }
 
-func newRoster(heartbeat time.Duration) *roster {
-	return &roster{targets: map[string]*target{}, byGroup: map[string][]*target{}, heartbeat: heartbeat}
+func newRoster() *roster {
+	return &roster{targets: map[string]*target{}, byGroup: map[string][]*target{}}
 }
 
 // group returns the upstreams of a service.
@@ -41,7 +40,10 @@
 // storeReached notes whether the store answers, and reports whether that changed.
 func (r *roster) storeReached(ok bool, now time.Time) bool {
 	changed := ok == r.storeAway
-	if ok && r.storeAway {
+	switch {
+	case !ok && !r.storeAway:
+		r.storeLost, r.partial = now, false
+	case ok && r.storeAway:
 		r.storeBack = now
 	}
 	r.storeAway = !ok
@@ -49,22 +51,23 @@
 }
 
 const (
-	// lapseHold is how long an upstream whose entry expired during an outage of the store is still used after its return: entries are back within two seconds.
+	// lapseHold is how long after the return of the store an upstream whose entry expired in its outage is still used: entries are back within two seconds.
 	lapseHold = 2200 * time.Millisecond
-	// lapseHeartbeats is the heartbeats without an entry after which one may have lapsed; the store drops it after three.
-	lapseHeartbeats = 2
-	// lapseReach is how long after an outage a removal may stem from it.
-	lapseReach = 4 * time.Second
+	// shortestLapse is the shortest outage in which an entry may expire.
+	shortestLapse = time.Second
 )
 
 // mayBeLapse reports whether a removal now may come from an outage of the
-// store: an upstream whose last entry is recent has left by itself, also if
-// only this gateway was turned away.
-func (r *roster) mayBeLapse(t *target, now time.Time) bool {
-	if now.Sub(t.seen) < lapseHeartbeats*r.heartbeat {
+// store. If a peer read the store meanwhile, only this gateway was turned
+// away, and what was removed has left.
+func (r *roster) mayBeLapse(now time.Time) bool {
+	if r.partial {
 		return false
 	}
-	return r.storeAway || (!r.storeBack.IsZero() && now.Sub(r.storeBack) < lapseReach)
+	if r.storeAway {
+		return now.Sub(r.storeLost) >= shortestLapse
+	}
+	return r.storeBack.Sub(r.storeLost) >= shortestLapse && now.Sub(r.storeBack) < lapseHold
 }
 
 // apply takes in the changes and returns the log lines.
@@ -95,7 +98,7 @@
 		return nil // An entry of an earlier start.
 	}
 	if !ok || t.born != u.born {
-		fresh := &target{Upstream: u, seen: now, cache: newCache()}
+		fresh := &target{Upstream: u, cache: newCache()}
 		if ok {
 			r.drop(t)
 		}
@@ -111,7 +114,7 @@
 		r.drop(t)
 		r.byGroup[u.service] = append(r.byGroup[u.service], t)
 	}
-	t.Upstream, t.lapsed, t.seen = u, time.Time{}, now
+	t.Upstream, t.lapsed = u, time.Time{}
 	t.leaving = was || u.leaving
 	if t.leaving && !was {
 		t.leavingSince = now
@@ -126,7 +129,7 @@
 	if !ok || !t.lapsed.IsZero() {
 		return nil
 	}
-	if r.mayBeLapse(t, now) && !t.leaving {
+	if r.mayBeLapse(now) && !t.leaving {
 		t.lapsed = now
 		return []Effect{report(rail.EventUpstreamLapsed, upstreamFields(t.Upstream, source)...)}
 	}
@@ -141,11 +144,7 @@
 		if t.lapsed.IsZero() || r.storeAway {
 			continue
 		}
-		since := t.lapsed
-		if r.storeBack.After(since) {
-			since = r.storeBack
-		}
-		if now.Sub(since) >= lapseHold {
+		if r.partial || now.Sub(r.storeBack) >= lapseHold {
 			r.forget(t)
 			effects = append(effects, report(rail.EventUpstreamGone, upstreamFields(t.Upstream, "lapse")...))
 		}
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -14,11 +14,9 @@
 	now   time.Time
 }
 
-const testHeartbeat = 1200 * time.Millisecond
-
 func newWorld() *world {
 	now := time.Unix(1_000_000, 0)
-	s := NewSettings("gateway-1", "north", "first", now).WithRetries(0.2, 60).WithHeartbeat(testHeartbeat)
+	s := NewSettings("gateway-1", "north", "first", now).WithRetries(0.2, 60)
 	return &world{state: NewState(s), now: now}
 }
 
@@ -47,11 +45,20 @@
 	w := newWorld()
 	w.list(UpstreamSet(testUpstream("a")))
 	w.post(NewStoreReached(errors.New("turned away")))
-	w.pass(9 * time.Second).post(NewStoreReached(nil))
-	// The heartbeats of the outage are read after it: the upstream was alive up to its removal.
-	w.list(UpstreamSet(testUpstream("a")))
+	w.pass(2 * time.Second).post(NewDigestHeard(Digest{gateway: "gateway-2", incarnation: "x", wall: w.now}))
+	w.pass(7 * time.Second).post(NewStoreReached(nil))
 	w.pass(time.Second).list(UpstreamRemoved("a"))
-	is.True(!w.usable("a")) // It left by itself.
+	is.True(!w.usable("a")) // It left by itself: a peer read the store all the while.
+}
+
+func TestRemovalLongAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.list(UpstreamSet(testUpstream("a")))
+	w.post(NewStoreReached(errors.New("down")))
+	w.pass(5 * time.Second).post(NewStoreReached(nil))
+	w.pass(lapseHold).list(UpstreamRemoved("a"))
+	is.True(!w.usable("a"))
 }
 
 func TestLapsedEntryIsHeldUntilItIsBack(t *testing.T) {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -16,8 +16,6 @@
 	usageWindow time.Duration
 	// lease is how long the holder of a duty keeps it unrenewed.
 	lease time.Duration
-	// heartbeat is the time between two entries of one upstream.
-	heartbeat time.Duration
 	// exposeShare and exposeSlack bound the requests to a version that is on trial.
 	exposeShare, exposeSlack float64
 	domains                  []string
@@ -25,7 +23,7 @@
 
 // NewSettings returns the settings of the named gateway in the failure domain; the incarnation is new for each start.
 func NewSettings(name, domain, incarnation string, start time.Time) Settings {
-	return Settings{name: name, domain: domain, incarnation: incarnation, start: start, usageWindow: defaultUsageWindow, lease: defaultLease, heartbeat: defaultHeartbeat}
+	return Settings{name: name, domain: domain, incarnation: incarnation, start: start, usageWindow: defaultUsageWindow, lease: defaultLease}
 }
 
 const (
@@ -33,8 +31,6 @@
 	defaultUsageWindow = 5 * time.Second
 	// defaultLease is the time-out of a lease where the settings name none.
 	defaultLease = 3 * time.Second
-	// defaultHeartbeat is the time between two entries of an upstream where the settings name none.
-	defaultHeartbeat = 1200 * time.Millisecond
 )
 
 // WithRetries returns a copy with the ratio and the number of extra sends in a window of ten seconds, over all gateways.
@@ -52,9 +48,6 @@
 	return s
 }
 
-// WithHeartbeat returns a copy with the time between two entries of an upstream.
-func (s Settings) WithHeartbeat(d time.Duration) Settings { s.heartbeat = d; return s }
-
 // WithExposure returns a copy with the share and the number of requests that a version on trial may get.
 func (s Settings) WithExposure(share, slack float64) Settings {
 	s.exposeShare, s.exposeSlack = share, slack
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -32,7 +32,7 @@
 // NewState returns the state of a gateway that knows nothing yet.
 func NewState(s Settings) *State {
 	return &State{
-		settings: s, now: s.start, roster: newRoster(s.heartbeat), clock: newClock(s.start), quotas: map[string]*quota{},
+		settings: s, now: s.start, roster: newRoster(), clock: newClock(s.start), quotas: map[string]*quota{},
 		budgets: map[string]*budget{}, calls: map[*Call]*progress{}, peers: map[string]*peer{}, registered: map[string]string{},
 		tokens: map[string]int64{}, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{},
 	}
@@ -205,6 +205,8 @@
 	peerSilence = time.Second
 	// peerForgotten is the time without a digest after which a peer that the store does not list is dropped.
 	peerForgotten = 30 * time.Second
+	// peerSettle is the time after the start of an outage in which a peer may not have noticed it.
+	peerSettle = 900 * time.Millisecond
 	// loadAge is how long a peer's load counts.
 	loadAge = 3 * time.Second
 )
@@ -240,6 +242,9 @@
 	}
 	clear(p.assumed)
 	p.digest, p.heard = d, s.now
+	if s.roster.storeAway && !d.storeAway && s.now.Sub(s.roster.storeLost) > peerSettle {
+		s.roster.partial = true
+	}
 	var effects []Effect
 	for _, id := range d.leaving {
 		effects = append(effects, s.roster.leave(id, d.gateway, s.now)...)
