--- a/duty/duty.go
+++ b/duty/duty.go
@@ -51,7 +51,7 @@
 	// orderRepeat is how long after an order it is made again if the upstreams have not come.
 	orderRepeat = 7 * time.Second
 	// settleTime is how long a new holder waits before it orders, so that it knows the upstreams.
-	settleTime = 2500 * time.Millisecond
+	settleTime = 4000 * time.Millisecond
 	// refusedRepeat is how long after a refusal an order is made again.
 	refusedRepeat = 2500 * time.Millisecond
 )
@@ -72,7 +72,10 @@
 	plans    map[string]*Plan
 	orders   map[orderKey]*order
 	demand   demand
-	told     map[string]gateway.RolloutState
+	// dry says of a service that the cloud has no reclaimable upstreams now; refused is when it last said so.
+	dry     map[string]bool
+	refused time.Time
+	told    map[string]gateway.RolloutState
 }
 
 type orderKey struct {
@@ -82,17 +85,17 @@
 
 // order is the last one of its kind.
 type order struct {
-	count   int
-	at      time.Time
-	done    bool
-	refused time.Time
+	count int
+	at    time.Time
+	done  bool
+	met   bool // The upstreams came.
 }
 
 // New returns the duties of a gateway; now is a clock that runs on while the process is frozen. Run must be started.
 func New(l *Lease, g *gateway.Gateway, log Log, cloud Cloud, lines gateway.Log, now func() time.Duration, usage, scale bool) *Duty {
 	return &Duty{
 		lease: l, gateway: g, log: log, cloud: cloud, lines: lines, now: now, usage: usage, scale: scale,
-		reported: map[int64]bool{}, plans: map[string]*Plan{}, orders: map[orderKey]*order{}, told: map[string]gateway.RolloutState{},
+		reported: map[int64]bool{}, plans: map[string]*Plan{}, orders: map[orderKey]*order{}, dry: map[string]bool{}, told: map[string]gateway.RolloutState{},
 	}
 }
 
@@ -298,7 +301,8 @@
 		if fresh && d.demand.rate > 0 {
 			p.Demand(d.demand.rate, now)
 		}
-		for _, w := range p.Wanted(d.domains(f, now)) {
+		domains := d.domains(f)
+		for _, w := range p.Wanted(domains, d.dry[f.Service()]) {
 			if err := d.order(ctx, f, w, now); err != nil {
 				d.lose(err)
 				return
@@ -307,12 +311,13 @@
 	}
 }
 
-func (d *Duty) domains(f *gateway.Fleet, now time.Time) []Domain {
+func (d *Duty) domains(f *gateway.Fleet) []Domain {
 	var domains []Domain
 	for name, price := range f.Prices() {
-		o := d.orders[orderKey{f.Service(), name, true}]
-		refused := o != nil && !o.refused.IsZero() && now.Sub(o.refused) < 2*refusedRepeat
-		domains = append(domains, NewDomain(name, price, f.Count(name, true), f.Count(name, false), refused))
+		domains = append(domains, NewDomain(name, price, f.Count(name, true), f.Count(name, false)))
+		if f.Reclaimed(name) {
+			d.dry[f.Service()] = true
+		}
 	}
 	sort.Slice(domains, func(i, j int) bool { return domains[i].name < domains[j].name })
 	return domains
@@ -326,10 +331,14 @@
 		o = &order{count: -1}
 		d.orders[k] = o
 	}
+	present := f.Count(w.domain, w.spot)
 	switch {
-	case !o.refused.IsZero() && now.Sub(o.refused) < refusedRepeat:
+	case w.spot && d.dry[f.Service()] && now.Sub(d.refused) < refusedRepeat:
+		return nil
+	case o.done && o.count == w.count && present >= w.count:
+		o.met = true
 		return nil
-	case o.done && o.count == w.count && (f.Count(w.domain, w.spot) >= w.count || now.Sub(o.at) < orderRepeat):
+	case o.done && o.count == w.count && !o.met && now.Sub(o.at) < orderRepeat:
 		return nil
 	case !d.lease.Held(d.now()):
 		return nil
@@ -338,11 +347,14 @@
 	defer cancel()
 	err := d.cloud.OrderUpstreams(ctx, d.lease.Fence(), f.Service(), w)
 	d.lines.Write(rail.EventUpstreamsOrdered, gateway.NewField("service", f.Service()), gateway.NewField("domain", w.domain), gateway.NewField("spot", w.spot),
-		gateway.NewField("count", w.count), gateway.NewField("present", f.Count(w.domain, w.spot)), gateway.NewField("demand", int64(d.demand.rate)),
+		gateway.NewField("count", w.count), gateway.NewField("present", present), gateway.NewField("demand", int64(d.demand.rate)),
 		gateway.NewField("fence", d.lease.Fence()), gateway.NewField("error", errorText(err)))
-	o.count, o.at, o.done, o.refused = w.count, now, err == nil, time.Time{}
+	o.count, o.at, o.done, o.met = w.count, now, err == nil, false
+	if w.spot {
+		d.dry[f.Service()] = errors.Is(err, ErrNone) || (err != nil && d.dry[f.Service()])
+	}
 	if errors.Is(err, ErrNone) {
-		o.refused = now
+		d.refused = now
 		return nil
 	}
 	if errors.Is(err, ErrFenced) {
--- a/duty/plan.go
+++ b/duty/plan.go
@@ -2,17 +2,16 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
 const (
 	// tokensPerUpstream is the prompt tokens a second that one engine takes beside the answers it writes.
-	tokensPerUpstream = 13_000
-	// leastPerDomain is the least number of engines in a failure domain.
+	tokensPerUpstream = 16_000
+	// leastPerDomain is the least number of engines in a failure domain that has any to be had.
 	leastPerDomain = 2
-	// leastOnDemand is the number of engines in each domain that the cloud does not reclaim.
-	leastOnDemand = 0
-	// shrinkTime is how long demand must stay below before upstreams are given back, one at a time.
+	// shrinkTime is how long demand must stay below before an upstream is given back.
 	shrinkTime = 4 * time.Second
 )
 
@@ -22,13 +21,11 @@
 	price float64
 	// spot and onDemand are the upstreams that take requests, by whether the cloud may reclaim them.
 	spot, onDemand int
-	// refused says that the cloud has no reclaimable ones there now.
-	refused bool
 }
 
 // NewDomain returns the failure domain with the price of an upstream and the numbers that take requests.
-func NewDomain(name string, price float64, spot, onDemand int, refused bool) Domain {
-	return Domain{name: name, price: price, spot: spot, onDemand: onDemand, refused: refused}
+func NewDomain(name string, price float64, spot, onDemand int) Domain {
+	return Domain{name: name, price: price, spot: spot, onDemand: onDemand}
 }
 
 // Wanted is the number of upstreams of one class in a failure domain.
@@ -47,18 +44,22 @@
 // Count returns the number.
 func (w Wanted) Count() int { return w.count }
 
-// Plan decides how many upstreams each failure domain gets: what the demand
-// needs, as reclaimable ones in equal parts, so that the loss of one domain
-// takes the least. While a domain has none to be had, the others get its part,
-// which costs less than upstreams of the dear class in that domain.
+// Plan decides how many upstreams each failure domain gets: reclaimable ones
+// in equal parts, enough that the loss of one domain leaves what the demand
+// needs. After a reclaim the cloud has none of them for a while, nowhere: then
+// those that are left are kept, and upstreams of the dear class, cheapest domain
+// first, make up for what is missing.
 type Plan struct {
 	least, most int
 	need        int
 	lower       time.Time
+	spot        map[string]int // last wanted, by domain
 }
 
 // NewPlan returns the plan of a service that may have from least to most upstreams in a domain and needs so many in all until demand is known.
-func NewPlan(least, most, need int) *Plan { return &Plan{least: least, most: most, need: need} }
+func NewPlan(least, most, need int) *Plan {
+	return &Plan{least: least, most: most, need: need, spot: map[string]int{}}
+}
 
 // Demand takes in the prompt tokens a second.
 func (p *Plan) Demand(tokens float64, now time.Time) {
@@ -72,31 +73,43 @@
 	}
 }
 
-// Wanted returns the numbers for the domains.
-func (p *Plan) Wanted(domains []Domain) []Wanted {
-	if len(domains) == 0 {
-		return nil
-	}
-	healthy := 0
+// Wanted returns the numbers for the domains; dry says that the cloud has no reclaimable upstreams now.
+func (p *Plan) Wanted(domains []Domain, dry bool) []Wanted {
+	each := p.each(len(domains))
+	have := 0
 	for _, d := range domains {
-		if !d.refused {
-			healthy++
-		}
+		have += d.spot
 	}
-	each := min(max((p.need+max(1, healthy)-1)/max(1, healthy), leastPerDomain, p.least), p.most)
+	standIns := p.standIns(domains, max(0, p.need-have))
 	var wanted []Wanted
-	for _, d := range domains {
-		floor := min(leastOnDemand, each)
-		spot := each - floor
-		missing := max(0, spot-d.spot)
-		onDemand := floor + min(missing, max(0, d.onDemand-floor)) // What is there stays until its successors serve.
-		if d.refused || healthy == 0 {
-			onDemand = max(floor, p.least)
-			if healthy == 0 {
-				onDemand = each
-			}
+	for i, d := range domains {
+		spot, onDemand := each, min(max(0, each-d.spot), d.onDemand) // What is there stays until its successors serve.
+		if dry {
+			spot, onDemand = max(p.spot[d.name], d.spot), standIns[i]
 		}
-		wanted = append(wanted, Wanted{d.name, true, spot}, Wanted{d.name, false, min(onDemand, p.most-spot)})
+		p.spot[d.name] = spot
+		wanted = append(wanted, Wanted{d.name, true, spot}, Wanted{d.name, false, min(onDemand, p.most-d.spot)})
 	}
 	return wanted
 }
+
+// each returns the reclaimable upstreams of each domain: one domain may go.
+func (p *Plan) each(domains int) int {
+	sharing := max(1, domains-1)
+	return min(max((p.need+sharing-1)/sharing, leastPerDomain, p.least), p.most)
+}
+
+// standIns spreads what is missing over the domains, cheapest first.
+func (p *Plan) standIns(domains []Domain, missing int) []int {
+	counts := make([]int, len(domains))
+	order := make([]int, len(domains))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return domains[order[a]].price < domains[order[b]].price })
+	for _, i := range order {
+		counts[i] = max(0, min(missing, p.most-domains[i].spot))
+		missing -= counts[i]
+	}
+	return counts
+}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -61,7 +61,6 @@
 	if limit := c.arrived.Add(route.timeout); route.timeout > 0 && limit.Before(p.deadline) {
 		p.deadline = limit
 	}
-	s.demand += c.prompt
 	if team != nil && team.rate > 0 {
 		p.cost = team.cost(c)
 		if ok, wait := s.quota(team).take(team, p.cost); !ok {
@@ -69,6 +68,7 @@
 		}
 		s.tokens[team.name] += int64(p.cost)
 	}
+	s.demand += c.prompt
 	p.service = s.backend(route, c)
 	t, wait := s.place(c, p)
 	if t == nil {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -6,6 +6,7 @@
 type Fleet struct {
 	service *Service
 	counts  map[fleetKey]int
+	leaving map[string]int // reclaimable ones that leave, by domain
 	total   int
 }
 
@@ -32,6 +33,11 @@
 // Count returns the upstreams in the domain that take requests, by whether the cloud may reclaim them.
 func (f *Fleet) Count(domain string, spot bool) int { return f.counts[fleetKey{domain, spot}] }
 
+// Reclaimed reports whether the cloud takes the domain's reclaimable upstreams now.
+func (f *Fleet) Reclaimed(domain string) bool {
+	return f.leaving[domain] > 0 && f.Count(domain, true) == 0
+}
+
 // Total returns all upstreams that take requests.
 func (f *Fleet) Total() int { return f.total }
 
@@ -45,8 +51,11 @@
 		if service.scaling == nil {
 			continue
 		}
-		f := &Fleet{service: service, counts: map[fleetKey]int{}}
+		f := &Fleet{service: service, counts: map[fleetKey]int{}, leaving: map[string]int{}}
 		for _, t := range s.roster.group(service.name) {
+			if t.leaving && t.spot {
+				f.leaving[t.domain]++
+			}
 			if !t.leaving {
 				f.counts[fleetKey{t.domain, t.spot}]++
 				f.total++
