Placement copies cached parts between engines, the fleet is smaller, quotas use their slack

Now an engine without the parts copies them from the one that all gateways rank first; 22,000 prompt tokens a second for each engine.

--- a/duty/plan.go
+++ b/duty/plan.go
@@ -8,9 +8,11 @@
 
 const (
 	// tokensPerUpstream is the prompt tokens a second that one engine takes beside the answers it writes.
-	tokensPerUpstream = 16_000
+	tokensPerUpstream = 22_000
 	// leastPerDomain is the least number of engines in a failure domain that has any to be had.
 	leastPerDomain = 2
+	// standInShare is the percentage of a domain's room up to which stand-ins are ordered, so that reclaimable ones find room beside them later.
+	standInShare = 70
 	// shrinkTime is how long demand must stay below before an upstream is given back.
 	shrinkTime = 4 * time.Second
 )
@@ -87,8 +89,9 @@
 		if dry {
 			spot, onDemand = max(p.spot[d.name], d.spot), standIns[i]
 		}
+		onDemand = max(0, min(onDemand, p.most-d.spot))
 		p.spot[d.name] = spot
-		wanted = append(wanted, Wanted{d.name, true, spot}, Wanted{d.name, false, min(onDemand, p.most-d.spot)})
+		wanted = append(wanted, Wanted{d.name, true, min(spot, p.most)}, Wanted{d.name, false, onDemand})
 	}
 	return wanted
 }
@@ -108,7 +111,7 @@
 	}
 	sort.SliceStable(order, func(a, b int) bool { return domains[order[a]].price < domains[order[b]].price })
 	for _, i := range order {
-		counts[i] = max(0, min(missing, p.most-domains[i].spot))
+		counts[i] = max(0, min(missing, standInShare*p.most/100-domains[i].spot))
 		missing -= counts[i]
 	}
 	return counts
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -114,7 +114,7 @@
 
 // place chooses an upstream for the next attempt; those that were tried come last.
 func (s *State) place(c *Call, p *progress) (*target, time.Duration) {
-	pl := placement{service: p.service, domain: s.settings.domain, now: s.now}
+	pl := placement{service: p.service, domain: s.settings.domain, goal: p.route.goal, now: s.now}
 	group := s.roster.group(p.service.name)
 	version := s.versionFor(p.service.name, c)
 	for _, allow := range []func(*target) bool{
@@ -138,15 +138,20 @@
 	p.tried[t] = true
 	p.load = Load{running: 1, waitingTokens: max(0, c.prompt-t.cache.hit(c.parts, s.now)), heldTokens: c.prompt + c.output/2}
 	t.own.add(p.load)
+	fetch := ""
+	pl := placement{service: p.service, now: s.now}
+	if source := pl.source(c, t, s.roster.group(p.service.name)); source != nil {
+		fetch = source.address
+	}
 	t.cache.add(c.parts, s.now)
 	s.countVersion(p, t)
 	return []Effect{
 		report(rail.EventAttemptSent, NewField("request", c.id), NewField("attempt", p.number), NewField("route", p.route.name), NewField("team", p.teamName()),
 			NewField("upstream", t.id), NewField("domain", t.domain), NewField("running", t.own.running+t.peers.running), NewField("waitMs", wait.Milliseconds()),
-			NewField("failing", t.health.share(s.now)), NewField("config", s.catalogue.version), NewField("leftMs", p.deadline.Sub(s.now).Milliseconds()), NewField("resume", p.resume)),
+			NewField("failing", t.health.share(s.now)), NewField("config", s.catalogue.version), NewField("leftMs", p.deadline.Sub(s.now).Milliseconds()), NewField("resume", p.resume), NewField("fetch", fetch)),
 		Send{
 			call: c, upstream: t.Upstream, route: p.route, team: p.teamName(), number: p.number, rank: p.rank(), resume: p.resume, deadline: p.deadline,
-			maxConns: s.connections(p.service), patience: s.patience(p, wait),
+			fetch: fetch, maxConns: s.connections(p.service), patience: s.patience(p, wait),
 		},
 	}
 }
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -20,6 +20,10 @@
 	serviceTime = 15 * time.Millisecond
 	// distance is the cost of an upstream in another failure domain.
 	distance = 3 * time.Millisecond
+	// rereadCost is the cost of a prompt token that is read again, beside the time that it takes.
+	rereadCost = 40 * time.Microsecond
+	// lateness is the weight of the expected time beyond half of the goal.
+	lateness = 4
 	// fullCost is the cost of a request beyond the slots or the memory of an engine.
 	fullCost = 150 * time.Millisecond
 	// memoryShare is the part of an engine's memory beyond which requests are preempted.
@@ -35,6 +39,7 @@
 type placement struct {
 	service *Service
 	domain  string
+	goal    time.Duration
 	now     time.Time
 }
 
@@ -64,6 +69,30 @@
 	return parts[:len(parts)-1]
 }
 
+// source returns an upstream that holds more of the prompt's shared parts than
+// the chosen one, as far as this gateway knows; otherwise the one that all
+// gateways rank first for them.
+func (p placement) source(c *Call, chosen *target, targets []*target) *target {
+	shared := sharedParts(c.parts)
+	if len(shared) == 0 || p.service == nil || !p.service.engine() {
+		return nil
+	}
+	var best *target
+	most := chosen.cache.hit(shared, p.now)
+	for _, t := range targets {
+		if t == chosen || !t.health.open(p.now) {
+			continue
+		}
+		if n := t.cache.hit(shared, p.now); n > most {
+			best, most = t, n
+		}
+	}
+	if best != nil || most > 0 {
+		return best
+	}
+	return p.preferred(shared, targets, func(t *target) bool { return t != chosen && t.health.open(p.now) })
+}
+
 // preferred returns the upstream that all gateways rank first for the deepest shared part.
 func (p placement) preferred(shared []Part, targets []*target, allow func(*target) bool) *target {
 	if len(shared) == 0 {
@@ -132,5 +161,9 @@
 	if free := memoryShare*float64(p.service.memory) - float64(load.heldTokens+c.prompt+c.output); free < 0 {
 		first += time.Duration(-free / float64(p.service.memory) * 10 * float64(time.Second))
 	}
-	return first, first + crowding*time.Duration(load.running) + time.Duration(missing)*time.Second/prefillPerSecond/2
+	cost = first + crowding*time.Duration(load.running) + rereadCost*time.Duration(missing)
+	if late := first - p.goal/2; p.goal > 0 && late > 0 {
+		cost += lateness * late
+	}
+	return first, cost
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -14,7 +14,7 @@
 }
 
 // startShare is the part of the burst that a fresh gateway grants, since it does not know what was admitted before its start.
-const startShare = 0.5
+const startShare = 0.4
 
 // newQuota returns the bucket of a team as a fresh gateway may use it.
 func newQuota(t *Team, now time.Time) *quota {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -174,12 +174,18 @@
 		q = newQuota(t, s.now)
 		s.quotas[t.name] = q
 	}
-	q.refill(t, quotaSlackShare*s.settings.quotaSlack, s.now)
+	window := quotaWindow.Seconds()*t.rate + t.burst
+	q.refill(t, quotaSlackShare*s.settings.quotaSlack+quotaOverShare*window, s.now)
 	return q
 }
 
-// quotaSlackShare is the part of the slack that is granted; the rest covers what peers admitted and have not told yet.
-const quotaSlackShare = 0.3
+const (
+	// quotaWindow is the span over which a team's limit is measured.
+	quotaWindow = 8 * time.Second
+	// quotaSlackShare and quotaOverShare are the parts of the slack and of a window's limit that are granted above the burst; the rest covers what peers admitted and have not told yet.
+	quotaSlackShare = 0.5
+	quotaOverShare  = 0.04
+)
 
 func (s *State) budget(service string) *budget {
 	b, ok := s.budgets[service]
