--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -29,11 +29,12 @@
 	tickInterval = 100 * time.Millisecond
 	// sweepInterval is the time between looks for idle connections and changed settings.
 	sweepInterval = time.Second
-	// operatorInterval and operatorWait space the reads of the operator's records, upstreamInterval those of the upstreams', gatewayInterval those of the gateways'.
-	operatorInterval = 50 * time.Millisecond
-	operatorWait     = time.Second
-	upstreamInterval = 600 * time.Millisecond
-	gatewayInterval  = 3 * time.Second
+	// watchInterval and watchWait space the reads of the configuration and of the upstreams, gatewayInterval those of the gateways.
+	watchInterval   = 100 * time.Millisecond
+	watchWait       = time.Second
+	gatewayInterval = 4 * time.Second
+	// watchIdle is the time between reads by gateways that leave the reading to others.
+	watchIdle = 8 * time.Second
 	// registerInterval is the time between tries to list this gateway.
 	registerInterval = 500 * time.Millisecond
 	// exitReserve is the time before the end of the grace period at which the process ends by itself.
@@ -78,13 +79,12 @@
 	d.sender = platform.NewSender(d.group)
 	d.gateway = gateway.New(gateway.NewState(s.Gateway(incarnation, start)), d.sender, d.lines, t)
 	d.ingress = platform.NewIngress(d.gateway)
-	d.gossip = gossip.New(d.gateway, d.lines, d.group)
+	d.watchers = map[string]*gateway.Watcher{}
+	d.gossip = gossip.New(s.Name(), d.gateway, d.watchers, d.lines, d.group)
 	operator, upstreams, gateways := platform.NewOperatorTopic(d.store, d.lines), platform.NewUpstreamTopic(d.store, d.lines), platform.NewGatewayTopic(d.store)
-	d.watchers = map[string]*gateway.Watcher{
-		operator.Name():  gateway.NewWatcher(operator, d.gateway, d.gossip, operatorInterval, operatorWait),
-		upstreams.Name(): gateway.NewWatcher(upstreams, d.gateway, d.gossip, upstreamInterval, 0),
-		gateways.Name():  gateway.NewWatcher(gateways, d.gateway, d.gossip, gatewayInterval, 0),
-	}
+	d.watchers[operator.Name()] = gateway.NewWatcher(operator, d.gateway, d.gossip, watchInterval, watchWait, watchIdle)
+	d.watchers[upstreams.Name()] = gateway.NewWatcher(upstreams, d.gateway, d.gossip, watchInterval, watchWait, watchIdle)
+	d.watchers[gateways.Name()] = gateway.NewWatcher(gateways, d.gateway, d.gossip, gatewayInterval, 0, watchIdle)
 	l := duty.NewLease(s.Name(), incarnation, s.Gateway(incarnation, start).Lease(), leasePatience(s.Name()))
 	d.duty = duty.New(l, d.gateway, platform.NewDuties(d.store, s.Name()), platform.NewDuties(d.store, s.Name()), d.lines, bootTime, s.Duty("usage"), s.Duty("scale"))
 	mux := http.NewServeMux()
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -50,7 +50,7 @@
 	reportedWindows = 3
 	// orderRepeat is how long after an order it is made again if the upstreams have not come.
 	orderRepeat = 7 * time.Second
-	// settleTime is how long a new holder waits before it orders, so that it knows the upstreams.
+	// settleTime is how long after its start a holder waits before it orders, so that it knows the upstreams.
 	settleTime = 4000 * time.Millisecond
 	// refusedRepeat is how long after a refusal an order is made again.
 	refusedRepeat = 2500 * time.Millisecond
@@ -67,11 +67,12 @@
 	usage    bool
 	scale    bool
 	read     time.Duration
-	since    time.Duration // when the lease was taken
+	started  time.Duration
 	reported map[int64]bool
 	plans    map[string]*Plan
 	orders   map[orderKey]*order
 	demand   demand
+	fresh    bool // The demand was measured in this tick.
 	// dry says of a service that the cloud has no reclaimable upstreams now; refused is when it last said so.
 	dry     map[string]bool
 	refused time.Time
@@ -94,7 +95,7 @@
 // New returns the duties of a gateway; now is a clock that runs on while the process is frozen. Run must be started.
 func New(l *Lease, g *gateway.Gateway, log Log, cloud Cloud, lines gateway.Log, now func() time.Duration, usage, scale bool) *Duty {
 	return &Duty{
-		lease: l, gateway: g, log: log, cloud: cloud, lines: lines, now: now, usage: usage, scale: scale,
+		lease: l, gateway: g, log: log, cloud: cloud, lines: lines, now: now, started: now(), usage: usage, scale: scale,
 		reported: map[int64]bool{}, plans: map[string]*Plan{}, orders: map[orderKey]*order{}, dry: map[string]bool{}, told: map[string]gateway.RolloutState{},
 	}
 }
@@ -115,13 +116,21 @@
 }
 
 func (d *Duty) tick(ctx context.Context) {
+	var total, holder int64
+	d.gateway.View(func(s *gateway.State) { total, holder = s.Demand(), s.Holder() })
+	d.fresh = d.demand.measure(total, time.Now()) // Also without the lease, so that a successor knows the demand.
+	if holder != 0 && d.lease.Heard(holder, d.now()) {
+		return // The holder is alive; there is no need to read the lease.
+	}
 	if err := d.keep(ctx); err != nil {
 		d.lose(err)
 		return
 	}
 	if !d.lease.Held(d.now()) {
+		d.gateway.Post(gateway.NewLeaseHeld(0))
 		return
 	}
+	d.gateway.Post(gateway.NewLeaseHeld(d.lease.Fence()))
 	d.tellRollouts(ctx)
 	if d.usage {
 		d.reportUsage(ctx)
@@ -136,6 +145,9 @@
 	if errors.Is(err, ErrFenced) || errors.Is(err, gateway.ErrConflict) {
 		d.lease.Drop()
 	}
+	if !d.lease.Held(d.now()) {
+		d.gateway.Post(gateway.NewLeaseHeld(0))
+	}
 	d.lines.Write(rail.EventDutyLost, gateway.NewField("holder", d.lease.Holder()), gateway.NewField("fence", d.lease.Fence()), gateway.NewField("error", err.Error()))
 }
 
@@ -166,7 +178,6 @@
 	}
 	taken, err := d.lease.Claimed(value, at, now)
 	if taken {
-		d.since = now
 		d.reported, d.orders = map[int64]bool{}, map[orderKey]*order{}
 		d.lines.Write(rail.EventDutyTaken, gateway.NewField("fence", d.lease.Fence()), gateway.NewField("offset", at))
 	}
@@ -286,19 +297,17 @@
 func (d *Duty) orderUpstreams(ctx context.Context) {
 	now := time.Now()
 	var services []*gateway.Fleet
-	var total int64
-	d.gateway.View(func(s *gateway.State) { services, total = s.Fleets(), s.Demand() })
-	fresh := d.demand.measure(total, now)
+	d.gateway.View(func(s *gateway.State) { services = s.Fleets() })
 	for _, f := range services {
 		p, ok := d.plans[f.Service()]
 		if !ok {
-			if f.Total() == 0 || d.now()-d.since < settleTime {
+			if f.Total() == 0 || d.now()-d.started < settleTime {
 				continue // The upstreams that were there before are not all listed yet.
 			}
 			p = NewPlan(f.Least(), f.Most(), f.Total())
 			d.plans[f.Service()] = p
 		}
-		if fresh && d.demand.rate > 0 {
+		if d.fresh && d.demand.rate > 0 {
 			p.Demand(d.demand.rate, now)
 		}
 		domains := d.domains(f)
--- a/duty/plan.go
+++ b/duty/plan.go
@@ -14,7 +14,7 @@
 	// standInShare is the percentage of a domain's room up to which stand-ins are ordered, so that reclaimable ones find room beside them later.
 	standInShare = 70
 	// shrinkTime is how long demand must stay below before an upstream is given back.
-	shrinkTime = 4 * time.Second
+	shrinkTime = 5 * time.Second
 )
 
 // Domain is what a failure domain has of one service.
@@ -66,8 +66,8 @@
 // Demand takes in the prompt tokens a second.
 func (p *Plan) Demand(tokens float64, now time.Time) {
 	need := int(math.Ceil(tokens / tokensPerUpstream))
-	if need >= p.need {
-		p.need, p.lower = need, now
+	if need >= p.need || p.lower.IsZero() {
+		p.need, p.lower = max(need, p.need), now
 		return
 	}
 	if now.Sub(p.lower) >= shrinkTime {
@@ -87,7 +87,10 @@
 	for i, d := range domains {
 		spot, onDemand := each, min(max(0, each-d.spot), d.onDemand) // What is there stays until its successors serve.
 		if dry {
-			spot, onDemand = max(p.spot[d.name], d.spot), standIns[i]
+			onDemand = standIns[i]
+			if last, ok := p.spot[d.name]; ok {
+				spot = max(last, d.spot)
+			}
 		}
 		onDemand = max(0, min(onDemand, p.most-d.spot))
 		p.spot[d.name] = spot
@@ -102,7 +105,7 @@
 	return min(max((p.need+sharing-1)/sharing, leastPerDomain, p.least), p.most)
 }
 
-// standIns spreads what is missing over the domains, cheapest first.
+// standIns spreads what is missing over the domains: first where stand-ins are already, then cheapest first.
 func (p *Plan) standIns(domains []Domain, missing int) []int {
 	counts := make([]int, len(domains))
 	order := make([]int, len(domains))
@@ -111,8 +114,13 @@
 	}
 	sort.SliceStable(order, func(a, b int) bool { return domains[order[a]].price < domains[order[b]].price })
 	for _, i := range order {
-		counts[i] = max(0, min(missing, standInShare*p.most/100-domains[i].spot))
+		counts[i] = min(missing, domains[i].onDemand)
 		missing -= counts[i]
 	}
+	for _, i := range order {
+		more := max(0, min(missing, standInShare*p.most/100-domains[i].spot-counts[i]))
+		counts[i] += more
+		missing -= more
+	}
 	return counts
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -63,7 +63,7 @@
 	}
 	if team != nil && team.rate > 0 {
 		p.cost = team.cost(c)
-		if ok, wait := s.quota(team).take(team, p.cost); !ok {
+		if ok, wait := s.quota(team).take(p.cost, s.gateways()); !ok {
 			return s.refuse(c, p, rail.KindLimited, wait)
 		}
 		s.tokens[team.name] += int64(p.cost)
@@ -119,7 +119,7 @@
 	version := s.versionFor(p.service.name, c)
 	for _, allow := range []func(*target) bool{
 		func(t *target) bool {
-			return !t.leaving && t.health.open(s.now) && !p.tried[t] && version.allows(t)
+			return !t.leaving && t.health.open(s.now) && !s.cut(t.domain) && !p.tried[t] && version.allows(t)
 		},
 		func(t *target) bool { return !t.leaving && !p.tried[t] && version.allows(t) },
 		func(t *target) bool { return !t.leaving && !p.tried[t] && version.mayUse(t) },
@@ -215,6 +215,7 @@
 	p.last = s.now
 	if !p.first {
 		p.first = true
+		s.noteReach(p.target, rail.KindNone, false)
 		waiting := Load{waitingTokens: p.load.waitingTokens}
 		p.load.waitingTokens = 0
 		p.target.own.subtract(waiting)
@@ -332,6 +333,7 @@
 		kind = rail.KindNone
 	}
 	p.target.health.note(kind, s.now)
+	s.noteReach(p.target, kind, o.timedOut)
 	s.noteVersion(p, kind)
 }
 
@@ -355,7 +357,7 @@
 	if p != nil {
 		fields = append(fields, NewField("route", p.route.name), NewField("team", p.teamName()), NewField("attempts", p.number))
 		if p.team != nil && kind == rail.KindLimited {
-			fields = append(fields, NewField("level", int64(s.quota(p.team).level)), NewField("cost", int64(p.cost)))
+			fields = append(fields, NewField("admitted", int64(s.quota(p.team).total)), NewField("limit", int64(s.quota(p.team).limit)), NewField("cost", int64(p.cost)))
 		}
 	}
 	if kind.Reply().Run() == rail.NotRun && wait > 0 {
@@ -402,7 +404,10 @@
 	var effects []Effect
 	for c, p := range s.calls {
 		l := lulls[p.target]
-		if l == nil || l.streams < silentStreams || s.now.Sub(l.last) < silence || !p.route.mayResume() || p.runs+1 >= p.route.attempts {
+		if l == nil || s.now.Sub(l.last) < silence || !p.route.mayResume() || p.runs+1 >= p.route.attempts {
+			continue
+		}
+		if l.streams < silentStreams && !s.peersLost(p.target.domain) {
 			continue
 		}
 		effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -59,6 +59,11 @@
 	leaving     []string
 	versions    map[versionKey]tally
 	demand      int64
+	domain      string
+	// idle says that the gateway does not know the configuration yet, or leaves.
+	idle bool
+	// fence is that of the lease on the duties if the gateway holds it, zero otherwise.
+	fence int64
 }
 
 // Gateway returns the name of the gateway that says it.
@@ -67,11 +72,14 @@
 // StoreAway reports whether the gateway cannot read the store.
 func (d Digest) StoreAway() bool { return d.storeAway }
 
+// Fence returns the fence of the lease on the duties if the gateway holds it, zero otherwise.
+func (d Digest) Fence() int64 { return d.fence }
+
 // Message returns the digest as it is sent.
 func (d Digest) Message() *railv1.GatewayDigest {
 	m := &railv1.GatewayDigest{
 		Gateway: d.gateway, Incarnation: d.incarnation, WallMs: d.wall.UnixMilli(), StoreAway: d.storeAway,
-		Tokens: d.tokens, Leaving: d.leaving, DemandTokens: d.demand,
+		Tokens: d.tokens, Leaving: d.leaving, DemandTokens: d.demand, Domain: d.domain, Idle: d.idle, Fence: d.fence,
 	}
 	for id, l := range d.loads {
 		m.Loads = append(m.Loads, &railv1.UpstreamLoad{Upstream: id, Running: int32(l.running), WaitingTokens: l.waitingTokens, HeldTokens: l.heldTokens}) //nolint:gosec // Bounded by the connections.
@@ -90,7 +98,7 @@
 	d := Digest{
 		gateway: m.GetGateway(), incarnation: m.GetIncarnation(), wall: time.UnixMilli(m.GetWallMs()), storeAway: m.GetStoreAway(),
 		loads: make(map[string]Load, len(m.GetLoads())), tokens: m.GetTokens(), usage: usage{}, leaving: m.GetLeaving(),
-		versions: map[versionKey]tally{}, demand: m.GetDemandTokens(),
+		versions: map[versionKey]tally{}, demand: m.GetDemandTokens(), domain: m.GetDomain(), idle: m.GetIdle(), fence: m.GetFence(),
 	}
 	for _, l := range m.GetLoads() {
 		d.loads[l.GetUpstream()] = Load{running: int(l.GetRunning()), waitingTokens: l.GetWaitingTokens(), heldTokens: l.GetHeldTokens()}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -70,6 +70,12 @@
 // NewSettingsRead returns the event; name, domain and incarnation stay as they were.
 func NewSettingsRead(s Settings) SettingsRead { return SettingsRead{settings: s} }
 
+// LeaseHeld tells whether this gateway holds the lease on the duties.
+type LeaseHeld struct{ fence int64 }
+
+// NewLeaseHeld returns the event; fence is zero if it does not.
+func NewLeaseHeld(fence int64) LeaseHeld { return LeaseHeld{fence: fence} }
+
 // Ticked tells that time has passed.
 type Ticked struct{}
 
@@ -96,7 +102,9 @@
 	answered bool
 	// status is the HTTP status of that answer.
 	status int
-	err    error
+	// timedOut says that nothing came back from the upstream in time.
+	timedOut bool
+	err      error
 }
 
 // AttemptEnded tells that an attempt of a call is over.
@@ -115,6 +123,7 @@
 func (PeersRead) gatewayEvent()     {}
 func (RolloutRead) gatewayEvent()   {}
 func (SettingsRead) gatewayEvent()  {}
+func (LeaseHeld) gatewayEvent()     {}
 func (Ticked) gatewayEvent()        {}
 func (LeaveStarted) gatewayEvent()  {}
 func (Arrived) gatewayEvent()       {}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -118,7 +118,9 @@
 	if cause := context.Cause(ctx); cause != nil && kind.Reply().Run() != rail.NotRun {
 		kind = rail.KindOf(cause)
 	}
-	return Outcome{kind: kind, err: err, events: r.events.count, last: r.events.last}
+	var timeout interface{ Timeout() bool }
+	timedOut := kind == rail.KindUpstreamSilent || (errors.As(err, &timeout) && timeout.Timeout())
+	return Outcome{kind: kind, err: err, events: r.events.count, last: r.events.last, timedOut: timedOut}
 }
 
 // whole reads a whole answer and hands it on, or keeps it if it is a failure.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -24,7 +24,9 @@
 	usage      usage
 	versions   map[versionKey]tally
 	rollouts   map[string]*rollout
+	reach      map[string]*reach
 	demand     int64
+	fence      int64
 	leaving    bool
 	listed     bool
 }
@@ -34,7 +36,7 @@
 	return &State{
 		settings: s, now: s.start, roster: newRoster(), clock: newClock(s.start), quotas: map[string]*quota{},
 		budgets: map[string]*budget{}, calls: map[*Call]*progress{}, peers: map[string]*peer{}, registered: map[string]string{},
-		tokens: map[string]int64{}, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{},
+		tokens: map[string]int64{}, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{}, reach: map[string]*reach{},
 	}
 }
 
@@ -71,6 +73,8 @@
 		fresh := e.settings
 		fresh.name, fresh.domain, fresh.incarnation, fresh.start = s.settings.name, s.settings.domain, s.settings.incarnation, s.settings.start
 		s.settings = fresh
+	case LeaseHeld:
+		s.fence = e.fence
 	case LeaveStarted:
 		s.leaving = true
 	}
@@ -110,6 +114,17 @@
 	return peers
 }
 
+// Holder returns the fence of the peer that said lately that it holds the lease on the duties, zero if none did.
+func (s *State) Holder() int64 {
+	var fence int64
+	for _, p := range s.peers {
+		if s.now.Sub(p.heard) < peerSilence {
+			fence = max(fence, p.digest.fence)
+		}
+	}
+	return fence
+}
+
 // Readers returns the names of the peers that said lately that they reach the store.
 func (s *State) Readers() []string {
 	var names []string
@@ -121,6 +136,23 @@
 	return names
 }
 
+// readers is the number of gateways that read the store for all.
+const readers = 2
+
+// Reads reports whether this gateway is one of those that read the store: the first by name of those that reach it.
+func (s *State) Reads() bool {
+	if s.roster.storeAway {
+		return true
+	}
+	before := 0
+	for name, p := range s.peers {
+		if name < s.settings.name && !p.digest.storeAway && !p.digest.idle && s.now.Sub(p.heard) < peerSilence {
+			before++
+		}
+	}
+	return before < readers
+}
+
 // gateways returns how many gateways share the limits: those that the store lists, and this one.
 func (s *State) gateways() int { return len(s.registered) + 1 }
 
@@ -167,26 +199,19 @@
 	return s.clock.now(s.now).UnixNano() / int64(s.settings.usageWindow)
 }
 
-// quota returns the bucket of the team, refilled.
+// quota returns the team's quota as of now.
 func (s *State) quota(t *Team) *quota {
+	limit := quotaWindow.Seconds()*t.rate + t.burst
+	limit += quotaSlackShare*s.settings.quotaSlack + quotaOverShare*limit
 	q, ok := s.quotas[t.name]
 	if !ok {
-		q = newQuota(t, s.now)
+		q = newQuota(s.steady(), limit)
 		s.quotas[t.name] = q
 	}
-	window := quotaWindow.Seconds()*t.rate + t.burst
-	q.refill(t, quotaSlackShare*s.settings.quotaSlack+quotaOverShare*window, s.now)
+	q.advance(s.steady(), limit)
 	return q
 }
 
-const (
-	// quotaWindow is the span over which a team's limit is measured.
-	quotaWindow = 8 * time.Second
-	// quotaSlackShare and quotaOverShare are the parts of the slack and of a window's limit that are granted above the burst; the rest covers what peers admitted and have not told yet.
-	quotaSlackShare = 0.5
-	quotaOverShare  = 0.04
-)
-
 func (s *State) budget(service string) *budget {
 	b, ok := s.budgets[service]
 	if !ok {
@@ -241,7 +266,7 @@
 			if t := s.catalogue.teams[name]; t != nil {
 				spent := float64(total-before[name]) - p.assumed[name]
 				if spent > 0 {
-					s.quota(t).drain(t, spent)
+					s.quota(t).add(spent)
 				}
 			}
 		}
@@ -301,7 +326,7 @@
 			due := part*t.rate*(silent-peerSilence).Seconds() - p.assumed[t.name]
 			if due > 0 {
 				p.assumed[t.name] += due
-				s.quota(t).drain(t, due)
+				s.quota(t).add(due)
 			}
 		}
 	}
@@ -311,7 +336,7 @@
 func (s *State) Digest(now time.Time) Digest {
 	d := Digest{
 		gateway: s.settings.name, incarnation: s.settings.incarnation, wall: now, storeAway: s.roster.storeAway,
-		loads: map[string]Load{}, tokens: make(map[string]int64, len(s.tokens)), usage: usage{}, demand: s.demand,
+		loads: map[string]Load{}, tokens: make(map[string]int64, len(s.tokens)), usage: usage{}, demand: s.demand, domain: s.settings.domain, idle: !s.Ready(), fence: s.fence,
 		versions: make(map[versionKey]tally, len(s.versions)),
 	}
 	for id, t := range s.roster.targets {
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -63,17 +63,21 @@
 
 // Mirrors asks peers for what they have read.
 type Mirrors interface {
-	// Mirror returns the newest records of the topic from the offset on as a peer knows them, and the peer's name.
-	Mirror(ctx context.Context, topic string, from int64) (Batch, string, error)
+	// Mirror returns the newest records of the topic from the offset on as the peer knows them, any peer that reads the store if none is named, and the peer's name.
+	Mirror(ctx context.Context, topic, peer string, from int64) (Batch, string, error)
 }
 
-// Watcher follows a topic; while the store does not answer, it asks peers that still reach it.
+// Watcher follows a topic. A few gateways read it from the store; the others
+// hear from their digests that there is more, and take it from them. While the
+// store does not answer, a gateway asks peers that still reach it.
 type Watcher struct {
 	topic    Topic
 	gateway  *Gateway
 	mirrors  Mirrors
 	interval time.Duration
 	wait     time.Duration
+	idle     time.Duration
+	poked    chan string
 
 	mu     sync.Mutex
 	newest map[string]Record
@@ -86,37 +90,78 @@
 	readTimeout = 700 * time.Millisecond
 	// failedInterval is the time between reads while the store does not answer.
 	failedInterval = 300 * time.Millisecond
+	// idleCheck is the time after which a gateway that leaves the reading to others looks whether they still read.
+	idleCheck = 250 * time.Millisecond
 )
 
-// NewWatcher returns a watcher that reads the topic again after the interval and lets each read wait for a record; Run must be started.
-func NewWatcher(t Topic, g *Gateway, m Mirrors, interval, wait time.Duration) *Watcher {
-	return &Watcher{topic: t, gateway: g, mirrors: m, interval: interval, wait: wait, newest: map[string]Record{}}
+// NewWatcher returns a watcher that reads the topic again after the interval and lets each read wait for a record; gateways that leave the reading to others read after the idle time. Run must be started.
+func NewWatcher(t Topic, g *Gateway, m Mirrors, interval, wait, idle time.Duration) *Watcher {
+	return &Watcher{topic: t, gateway: g, mirrors: m, interval: interval, wait: wait, idle: idle, poked: make(chan string, 1), newest: map[string]Record{}}
 }
 
 // Run follows the topic until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	var read time.Time
 	for ctx.Err() == nil {
-		pause := w.interval
-		if err := w.read(ctx); err != nil {
-			w.gateway.Post(NewStoreReached(errors.Wrap(err, w.topic.Name())))
-			w.mirror(ctx)
-			pause = failedInterval
-		} else {
-			w.gateway.Post(NewStoreReached(nil))
+		pause := idleCheck
+		if w.reads() || time.Since(read) >= w.idle {
+			read, pause = time.Now(), w.interval
+			if err := w.read(ctx); err != nil {
+				w.gateway.Post(NewStoreReached(errors.Wrap(err, w.topic.Name())))
+				w.mirror(ctx, "")
+				pause = failedInterval
+			} else {
+				w.gateway.Post(NewStoreReached(nil))
+			}
 		}
-		sleep(ctx, pause)
+		w.rest(ctx, pause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+// reads reports whether this gateway is one of those that read the store.
+func (w *Watcher) reads() bool {
+	reader := false
+	w.gateway.View(func(s *State) { reader = s.Reads() })
+	return reader || !w.known
+}
+
+// rest waits, and takes what a peer has more meanwhile.
+func (w *Watcher) rest(ctx context.Context, pause time.Duration) {
+	t := time.NewTimer(pause)
 	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-w.poked:
+			w.mirror(ctx, peer)
+		case <-t.C:
+			return
+		}
+	}
+}
+
+// Poke tells that the peer has read up to the offset.
+func (w *Watcher) Poke(peer string, next int64) {
+	w.mu.Lock()
+	more := w.known && next > w.next
+	w.mu.Unlock()
+	if !more {
+		return
+	}
 	select {
-	case <-ctx.Done():
-	case <-t.C:
+	case w.poked <- peer:
+	default: // The next digest tells again.
 	}
 }
 
+// Next returns the offset to read from next, false before the first read.
+func (w *Watcher) Next() (int64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.next, w.known
+}
+
 func (w *Watcher) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, w.wait+readTimeout)
 	defer cancel()
@@ -139,10 +184,10 @@
 }
 
 // mirror takes what a peer has read beyond what is known here.
-func (w *Watcher) mirror(ctx context.Context) {
+func (w *Watcher) mirror(ctx context.Context, peer string) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	b, name, err := w.mirrors.Mirror(ctx, w.topic.Name(), w.next)
+	b, name, err := w.mirrors.Mirror(ctx, w.topic.Name(), peer, w.next)
 	if err != nil {
 		w.gateway.log.Write(rail.EventPeerUnreachable, NewField("topic", w.topic.Name()), NewField("error", err.Error()))
 		return
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"dandelionrail.org/rail"
@@ -33,21 +34,23 @@
 
 // Gossip exchanges digests with the peers that the store lists.
 type Gossip struct {
-	gateway *gateway.Gateway
-	log     gateway.Log
-	group   rail.Group
-	client  *http.Client
-	away    map[string]bool
+	gateway  *gateway.Gateway
+	log      gateway.Log
+	group    rail.Group
+	client   *http.Client
+	watchers map[string]*gateway.Watcher
+	me       string
+	away     map[string]bool
 }
 
 var _ gateway.Mirrors = (*Gossip)(nil)
 
-// New returns the gossip of a gateway; Run must be started.
-func New(g *gateway.Gateway, log gateway.Log, group rail.Group) *Gossip {
+// New returns the gossip of the named gateway; the watchers are those of the topics that peers mirror, and may be added before Run is started.
+func New(me string, g *gateway.Gateway, watchers map[string]*gateway.Watcher, log gateway.Log, group rail.Group) *Gossip {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	return &Gossip{
-		gateway: g, log: log, group: group, client: &http.Client{Transport: transport, Timeout: exchangeTimeout},
+		me: me, gateway: g, watchers: watchers, log: log, group: group, client: &http.Client{Transport: transport, Timeout: exchangeTimeout},
 		away: map[string]bool{},
 	}
 }
@@ -72,12 +75,14 @@
 	g.gateway.View(func(s *gateway.State) { peers = s.Peers() })
 	names := make([]string, 0, len(peers))
 	for name := range peers {
-		names = append(names, name)
+		if g.calls(name) {
+			names = append(names, name)
+		}
 	}
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	names = names[:min(len(names), mostPeers)]
 	results := make(chan result, len(names))
-	digest := g.gateway.Digest().Message()
+	digest := message(g.gateway, g.watchers)
 	for _, name := range names {
 		g.group.Go(func(context.Context) { results <- result{name, g.exchange(ctx, peers[name], digest)} })
 	}
@@ -92,6 +97,35 @@
 	}
 }
 
+// calls reports whether this gateway is the one of a pair that calls the other: an exchange goes both ways.
+func (g *Gossip) calls(peer string) bool {
+	a, b := g.me, peer
+	flip := (a < b) != ((xxhash.Sum64String(min(a, b)+max(a, b)) & 1) == 0)
+	return flip
+}
+
+// message returns this gateway's digest with how far it has read.
+func message(g *gateway.Gateway, watchers map[string]*gateway.Watcher) *railv1.GatewayDigest {
+	m := g.Digest().Message()
+	m.Read = make(map[string]int64, len(watchers))
+	for topic, w := range watchers {
+		if next, ok := w.Next(); ok {
+			m.Read[topic] = next
+		}
+	}
+	return m
+}
+
+// hear takes in a peer's digest.
+func hear(g *gateway.Gateway, watchers map[string]*gateway.Watcher, m *railv1.GatewayDigest) {
+	g.Post(gateway.NewDigestHeard(gateway.DigestFrom(m)))
+	for topic, next := range m.GetRead() {
+		if w, ok := watchers[topic]; ok {
+			w.Poke(m.GetGateway(), next)
+		}
+	}
+}
+
 // result is what came of an exchange.
 type result struct {
 	name string
@@ -119,15 +153,18 @@
 	if err != nil {
 		return errors.Wrap(err, "Gossip.exchange")
 	}
-	g.gateway.Post(gateway.NewDigestHeard(gateway.DigestFrom(r.Msg.GetDigest())))
+	hear(g.gateway, g.watchers, r.Msg.GetDigest())
 	return nil
 }
 
 // Mirror implements gateway.Mirrors.
-func (g *Gossip) Mirror(ctx context.Context, topic string, from int64) (gateway.Batch, string, error) {
+func (g *Gossip) Mirror(ctx context.Context, topic, peer string, from int64) (gateway.Batch, string, error) {
 	var peers map[string]string
 	var readers []string
 	g.gateway.View(func(s *gateway.State) { peers, readers = s.Peers(), s.Readers() })
+	if peer != "" {
+		readers = []string{peer}
+	}
 	rand.Shuffle(len(readers), func(i, j int) { readers[i], readers[j] = readers[j], readers[i] })
 	err := errors.New("Gossip.Mirror: no peer reaches the store")
 	for _, name := range readers[:min(len(readers), mirrorsAsked)] {
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -32,8 +32,8 @@
 
 // Exchange takes a peer's digest and returns this gateway's.
 func (s *Server) Exchange(_ context.Context, r *connect.Request[railv1.ExchangeDigestRequest]) (*connect.Response[railv1.ExchangeDigestResponse], error) {
-	s.gateway.Post(gateway.NewDigestHeard(gateway.DigestFrom(r.Msg.GetDigest())))
-	return connect.NewResponse(&railv1.ExchangeDigestResponse{Digest: s.gateway.Digest().Message()}), nil
+	hear(s.gateway, s.watchers, r.Msg.GetDigest())
+	return connect.NewResponse(&railv1.ExchangeDigestResponse{Digest: message(s.gateway, s.watchers)}), nil
 }
 
 // Mirror returns the newest records of a topic.
