--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -11,9 +11,11 @@
 type quota struct {
 	// slots hold what was admitted in the last window, own only what this gateway admitted.
 	slots, own [quotaSlots]float64
-	at         int64
-	total      float64
-	limit      float64
+	// guess holds what is taken as admitted where nothing is known: it counts, and is not passed on as known.
+	guess [quotaSlots]float64
+	at    int64
+	total float64
+	limit float64
 }
 
 const (
@@ -35,8 +37,8 @@
 // newQuota returns the quota of a team at the steady time.
 func newQuota(steady time.Duration, limit float64) *quota {
 	q := &quota{at: slotOf(steady), limit: limit, total: startFill * limit}
-	for i := range q.slots {
-		q.slots[i] = q.total / quotaSlots
+	for i := range q.guess {
+		q.guess[i] = q.total / quotaSlots
 	}
 	return q
 }
@@ -48,13 +50,13 @@
 	q.limit = limit
 	now := slotOf(steady)
 	if now-q.at >= quotaSlots {
-		q.slots, q.own, q.at, q.total = [quotaSlots]float64{}, [quotaSlots]float64{}, now, 0
+		*q = quota{at: now, limit: limit}
 	}
 	for q.at < now {
 		q.at++
 		i := q.at % quotaSlots
-		q.total -= q.slots[i]
-		q.slots[i], q.own[i] = 0, 0
+		q.total -= q.slots[i] + q.guess[i]
+		q.slots[i], q.own[i], q.guess[i] = 0, 0, 0
 	}
 }
 
@@ -95,7 +97,7 @@
 // the gateways is not in it; their last rate is taken for it.
 func (q *quota) recall(seconds []int64, age time.Duration) {
 	since := q.own
-	q.slots, q.total = [quotaSlots]float64{}, 0
+	q.slots, q.guess, q.total = [quotaSlots]float64{}, [quotaSlots]float64{}, 0
 	perSecond := int64(quotaSlots / recallSeconds)
 	shift := slotOf(age)
 	latest := 0.0
@@ -117,7 +119,8 @@
 		q.total += n
 	}
 	if missing := math.Min(recallGap*latest, q.limit-q.total); missing > 0 {
-		q.add(missing)
+		q.guess[q.at%quotaSlots] += missing
+		q.total += missing
 	}
 }
 
@@ -133,7 +136,7 @@
 	const slot = quotaWindow / quotaSlots
 	freed := 0.0
 	for i := int64(1); i <= quotaSlots; i++ {
-		freed += q.slots[(q.at+i)%quotaSlots]
+		freed += q.slots[(q.at+i)%quotaSlots] + q.guess[(q.at+i)%quotaSlots]
 		if freed >= missing {
 			return time.Duration(i) * slot
 		}
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -113,3 +113,20 @@
 		is.True(most <= testAllowed)
 	}
 }
+
+func TestRepeatedRestartsDoNotAddUp(t *testing.T) {
+	is := is.New(t)
+	q := newQuota(0, testLimit)
+	at := time.Duration(0)
+	for range 5 { // A rolling restart: each holder starts from the record of the one before.
+		for end := at + 2*time.Second; at < end; at += 50 * time.Millisecond {
+			q.advance(at, testLimit)
+			q.add(testRate / 1.8 * 0.05)
+		}
+		seconds := q.bySecond()
+		q = newQuota(at, testLimit)
+		q.advance(at, testLimit)
+		q.recall(seconds, 0)
+	}
+	is.True(q.total < 0.75*testLimit)
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -233,12 +233,15 @@
 	if s.catalogue == nil || s.steady() > quotaWindow {
 		return nil
 	}
+	shares := map[string]float64{}
 	for name, seconds := range e.admitted {
 		if t := s.catalogue.teams[name]; t != nil && t.rate > 0 {
-			s.quota(t).recall(seconds, max(0, s.clock.now(s.now).Sub(e.at)))
+			q := s.quota(t)
+			q.recall(seconds, max(0, s.clock.now(s.now).Sub(e.at)))
+			shares[name] = q.total / q.limit
 		}
 	}
-	return []Effect{report(rail.EventQuotaRecalled, NewField("teams", len(e.admitted)), NewField("ageMs", s.clock.now(s.now).Sub(e.at).Milliseconds()))}
+	return []Effect{report(rail.EventQuotaRecalled, NewField("used", shares), NewField("admitted", e.admitted), NewField("ageMs", s.clock.now(s.now).Sub(e.at).Milliseconds()))}
 }
 
 // TrueTime returns the time of day by the clocks of all gateways.
