--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -51,15 +51,17 @@
 type Digest struct {
 	gateway     string
 	incarnation string
-	wall        time.Time
-	storeAway   bool
-	loads       map[string]Load
-	tokens      map[string]int64
-	usage       usage
-	leaving     []string
-	versions    map[versionKey]tally
-	demand      int64
-	domain      string
+	// sequence grows with each digest of one incarnation: a partition may hold one up until after its successors.
+	sequence  int64
+	wall      time.Time
+	storeAway bool
+	loads     map[string]Load
+	tokens    map[string]int64
+	usage     usage
+	leaving   []string
+	versions  map[versionKey]tally
+	demand    int64
+	domain    string
 	// idle says that the gateway does not know the configuration yet, or leaves.
 	idle bool
 	// fence is that of the lease on the duties if the gateway holds it, zero otherwise.
@@ -78,7 +80,7 @@
 // Message returns the digest as it is sent.
 func (d Digest) Message() *railv1.GatewayDigest {
 	m := &railv1.GatewayDigest{
-		Gateway: d.gateway, Incarnation: d.incarnation, WallMs: d.wall.UnixMilli(), StoreAway: d.storeAway,
+		Gateway: d.gateway, Incarnation: d.incarnation, Sequence: d.sequence, WallMs: d.wall.UnixMilli(), StoreAway: d.storeAway,
 		Tokens: d.tokens, Leaving: d.leaving, DemandTokens: d.demand, Domain: d.domain, Idle: d.idle, Fence: d.fence,
 	}
 	for id, l := range d.loads {
@@ -96,7 +98,7 @@
 // DigestFrom returns the digest that a peer sent.
 func DigestFrom(m *railv1.GatewayDigest) Digest {
 	d := Digest{
-		gateway: m.GetGateway(), incarnation: m.GetIncarnation(), wall: time.UnixMilli(m.GetWallMs()), storeAway: m.GetStoreAway(),
+		gateway: m.GetGateway(), incarnation: m.GetIncarnation(), sequence: m.GetSequence(), wall: time.UnixMilli(m.GetWallMs()), storeAway: m.GetStoreAway(),
 		loads: make(map[string]Load, len(m.GetLoads())), tokens: m.GetTokens(), usage: usage{}, leaving: m.GetLeaving(),
 		versions: map[versionKey]tally{}, demand: m.GetDemandTokens(), domain: m.GetDomain(), idle: m.GetIdle(), fence: m.GetFence(),
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -27,6 +27,7 @@
 	reach      map[string]*reach
 	demand     int64
 	fence      int64
+	sequence   int64
 	leaving    bool
 	listed     bool
 }
@@ -262,6 +263,8 @@
 	heard  time.Time
 	// assumed is what the peer is taken to have admitted since it was last heard, by team.
 	assumed map[string]float64
+	// past names its earlier incarnations.
+	past map[string]bool
 	// ended holds the usage of its earlier incarnations.
 	ended usage
 }
@@ -281,15 +284,19 @@
 	if d.gateway == s.settings.name {
 		return nil
 	}
-	s.clock.hear(d.gateway, d.wall, s.now)
 	p, ok := s.peers[d.gateway]
 	if !ok {
-		p = &peer{digest: Digest{tokens: d.tokens, incarnation: d.incarnation}, assumed: map[string]float64{}, ended: usage{}}
+		p = &peer{digest: Digest{tokens: d.tokens, incarnation: d.incarnation}, assumed: map[string]float64{}, ended: usage{}, past: map[string]bool{}}
 		s.peers[d.gateway] = p
 	}
+	if p.past[d.incarnation] || (p.digest.incarnation == d.incarnation && d.sequence < p.digest.sequence) {
+		return nil // Held up on the way; a later one was heard.
+	}
+	s.clock.hear(d.gateway, d.wall, s.now)
 	before := p.digest.tokens
 	if p.digest.incarnation != d.incarnation {
 		before = nil
+		p.past[p.digest.incarnation] = true
 		for w, counts := range p.digest.usage {
 			for team, n := range counts {
 				p.ended.count(w, team, n)
@@ -369,8 +376,9 @@
 
 // Digest returns what this gateway tells its peers.
 func (s *State) Digest(now time.Time) Digest {
+	s.sequence++
 	d := Digest{
-		gateway: s.settings.name, incarnation: s.settings.incarnation, wall: now, storeAway: s.roster.storeAway,
+		sequence: s.sequence, gateway: s.settings.name, incarnation: s.settings.incarnation, wall: now, storeAway: s.roster.storeAway,
 		loads: map[string]Load{}, tokens: make(map[string]int64, len(s.tokens)), usage: usage{}, demand: s.demand, domain: s.settings.domain, idle: !s.Ready(), fence: s.fence,
 		versions: make(map[versionKey]tally, len(s.versions)),
 	}
