--- a/duty/duty.go
+++ b/duty/duty.go
@@ -104,6 +104,7 @@
 func (d *Duty) Run(ctx context.Context) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
+	d.tick(ctx) // Recalls what teams had admitted before the first requests are taken.
 	for {
 		select {
 		case <-ctx.Done():
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -24,7 +24,7 @@
 	// quotaSlots is the number of parts of the window.
 	quotaSlots = 32
 	// quotaSlackShare and quotaOverShare are the parts of the slack and of a window's limit that are granted above it; the rest covers what peers admitted and have not told yet.
-	quotaSlackShare = 0.45
+	quotaSlackShare = 0.4
 	quotaOverShare  = 0.04
 	// startFill is the part of the limit that a fresh gateway takes as used in the window before its start, about which it knows nothing.
 	startFill = 0.85
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -30,6 +30,8 @@
 	sequence   int64
 	leaving    bool
 	listed     bool
+	// recalled waits for the first configuration.
+	recalled *AdmittedRecalled
 }
 
 // NewState returns the state of a gateway that knows nothing yet.
@@ -166,8 +168,12 @@
 		return nil
 	}
 	s.catalogue = e.catalogue
-	return []Effect{report(rail.EventCatalogueInForce, NewField("version", e.catalogue.version), NewField("source", e.source),
+	effects := []Effect{report(rail.EventCatalogueInForce, NewField("version", e.catalogue.version), NewField("source", e.source),
 		NewField("services", len(e.catalogue.services)), NewField("teams", len(e.catalogue.teams)))}
+	if s.recalled != nil {
+		effects = append(effects, s.recall(*s.recalled)...)
+	}
+	return effects
 }
 
 func (s *State) storeReached(e StoreReached) []Effect {
@@ -231,9 +237,14 @@
 
 // recall takes in what the store kept of the time before this start.
 func (s *State) recall(e AdmittedRecalled) []Effect {
-	if s.catalogue == nil || s.steady() > quotaWindow {
+	if s.steady() > quotaWindow {
+		return nil
+	}
+	if s.catalogue == nil {
+		s.recalled = &e
 		return nil
 	}
+	s.recalled = nil
 	shares := map[string]float64{}
 	for name, seconds := range e.admitted {
 		if t := s.catalogue.teams[name]; t != nil && t.rate > 0 {
