--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -24,7 +24,7 @@
 	// quotaSlots is the number of parts of the window.
 	quotaSlots = 32
 	// quotaSlackShare and quotaOverShare are the parts of the slack and of a window's limit that are granted above it; the rest covers what peers admitted and have not told yet.
-	quotaSlackShare = 0.4
+	quotaSlackShare = 0.45
 	quotaOverShare  = 0.04
 	// startFill is the part of the limit that a fresh gateway takes as used in the window before its start, about which it knows nothing.
 	startFill = 0.85
@@ -34,11 +34,12 @@
 	unevenness = 1.3
 )
 
-// newQuota returns the quota of a team at the steady time.
+// newQuota returns the quota of a team at the time since the gateway's start; what was admitted before the start is guessed.
 func newQuota(steady time.Duration, limit float64) *quota {
-	q := &quota{at: slotOf(steady), limit: limit, total: startFill * limit}
-	for i := range q.guess {
-		q.guess[i] = q.total / quotaSlots
+	q := &quota{at: slotOf(steady), limit: limit}
+	for i := q.at - quotaSlots + 1; i <= 0; i++ {
+		q.guess[(i+quotaSlots)%quotaSlots] = startFill * limit / quotaSlots
+		q.total += startFill * limit / quotaSlots
 	}
 	return q
 }
