--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -18,6 +18,8 @@
 	crowding = 1500 * time.Microsecond
 	// serviceTime is the cost of each request that is under way at a plain service.
 	serviceTime = 15 * time.Millisecond
+	// coldShare is the part of the time for which an upstream stays slow after its start that counts as waiting time.
+	coldShare = 20
 	// distance is the cost of an upstream in another failure domain.
 	distance = 3 * time.Millisecond
 	// rereadCost is the cost of a prompt token that is read again, beside the time that it takes.
@@ -127,7 +129,7 @@
 	load.add(t.peers)
 	if p.service == nil || !p.service.engine() {
 		first = serviceTime * time.Duration(load.running) / time.Duration(max(1, t.slots))
-		first += time.Duration(t.cold / 20)
+		first += t.cold / coldShare
 		cost = first
 	} else {
 		first, cost = p.engineCost(c, t, load, shared, preferred)
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -24,8 +24,8 @@
 	// quotaSlots is the number of parts of the window.
 	quotaSlots = 32
 	// quotaSlackShare and quotaOverShare are the parts of the slack and of a window's limit that are granted above it; the rest covers what peers admitted and have not told yet.
-	quotaSlackShare = 0.45
-	quotaOverShare  = 0.04
+	quotaSlackShare = 0.35
+	quotaOverShare  = 0.02
 	// startFill is the part of the limit that a fresh gateway takes as used in the window before its start, about which it knows nothing.
 	startFill = 0.85
 	// recentSlots is the slots in which peers may not have heard of what was admitted here.
@@ -100,17 +100,15 @@
 	since := q.own
 	q.slots, q.guess, q.total = [quotaSlots]float64{}, [quotaSlots]float64{}, 0
 	perSecond := int64(quotaSlots / recallSeconds)
-	shift := slotOf(age)
+	shift := max(0, slotOf(age-clockDoubt))
 	latest := 0.0
 	for i, n := range seconds {
 		if i >= len(seconds)-recallRate {
 			latest = math.Max(latest, float64(n))
 		}
-		for j := range perSecond {
-			back := int64(len(seconds)-1-i)*perSecond + j + shift
-			if back < quotaSlots {
-				q.slots[(q.at-back+quotaSlots)%quotaSlots] += float64(n) / float64(perSecond)
-			}
+		// All of a second is taken as admitted at its end, so that it does not leave the window early.
+		if back := int64(len(seconds)-1-i)*perSecond + shift; back < quotaSlots {
+			q.slots[(q.at-back+quotaSlots)%quotaSlots] += float64(n)
 		}
 	}
 	for i, n := range since {
@@ -128,6 +126,8 @@
 const (
 	// recallRate is the number of seconds that the last rate is taken from.
 	recallRate = 3
+	// clockDoubt is how far the clocks of two gateways may be apart.
+	clockDoubt = quotaWindow / quotaSlots
 	// recallGap is the seconds that may be missing: one between two records, and what peers had not told.
 	recallGap = 1.5
 )
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -35,8 +35,7 @@
 type rollout struct {
 	RolloutOrder
 	since  time.Time
-	base   tally // counts of the old versions when the rollout began
-	moved  bool  // the verdict is good and all traffic goes to the new version
+	moved  bool // the verdict is good and all traffic goes to the new version
 	bad    bool
 	moveAt time.Time
 }
