--- a/cmd/dandelionrail/check.go
+++ b/cmd/dandelionrail/check.go
@@ -17,17 +17,26 @@
 type checkCommand struct {
 	command *flaggy.Subcommand
 	file    string
+	// platform says that the file has the format of the users' platform.
+	platform bool
 }
 
 func newCheck() *checkCommand {
 	c := &checkCommand{command: flaggy.NewSubcommand("check")}
 	c.command.Description = usageCheck
 	c.command.AddPositionalValue(&c.file, "FILE", 1, true, "the settings file")
+	c.command.Bool(&c.platform, "p", "platform", "the file has the format of the users' platform")
 	return c
 }
 
 func (c *checkCommand) run() int {
-	if _, err := readSettings(c.file); err != nil {
+	var err error
+	if c.platform {
+		_, err = readPlatformSettings(c.file)
+	} else {
+		_, err = readSettings(c.file)
+	}
+	if err != nil {
 		return fail(exitBadInput, err)
 	}
 	fmt.Println(c.file + ": no faults")
--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -60,6 +60,7 @@
 	watchers map[string]*gateway.Watcher
 	peers    *http.Server
 	ready    *http.Server
+	metrics  *http.Server
 	changed  time.Time
 	start0   time.Time
 }
@@ -89,7 +90,9 @@
 	d.duty = duty.New(l, d.gateway, platform.NewDuties(d.store, s.Name()), platform.NewDuties(d.store, s.Name()), d.lines, bootTime, s.Duty("usage"), s.Duty("scale"))
 	mux := http.NewServeMux()
 	gossip.NewServer(d.gateway, d.watchers).Mount(mux)
-	mux.Handle("GET /metrics", t.Handler())
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", t.Handler())
+	d.metrics = &http.Server{Handler: metrics, ReadHeaderTimeout: time.Second}
 	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	d.ready = &http.Server{Handler: platform.Readiness(d.gateway), ReadHeaderTimeout: time.Second}
 	return d, nil
@@ -117,8 +120,16 @@
 	d.writers.Go(d.lines.Run)
 	d.lines.Write(rail.EventStarted, gateway.NewField("domain", d.settings.Domain()), gateway.NewField("callers", d.settings.CallerAddress()), gateway.NewField("peers", d.settings.PeerAddress()), gateway.NewField("store", d.settings.StoreAddress()))
 	d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.PeerAddress(), d.peers.Serve) })
-	d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.ReadyAddress(), d.ready.Serve) })
-	d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.CallerAddress(), d.ingress.Serve) })
+	d.group.Go(func(ctx context.Context) {
+		d.listen(ctx, d.settings.CallerAddress(), func(l net.Listener) error {
+			// Only a gateway that takes requests may say that it is ready.
+			d.group.Go(func(ctx context.Context) { d.listen(ctx, d.settings.ReadyAddress(), d.ready.Serve) })
+			return d.ingress.Serve(l)
+		})
+	})
+	if address := d.settings.MetricsAddress(); address != "" {
+		d.group.Go(func(ctx context.Context) { d.listen(ctx, address, d.metrics.Serve) })
+	}
 	for _, w := range d.watchers {
 		d.group.Go(w.Run)
 	}
