--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -178,7 +178,7 @@
 		w.post(Began{call: c})
 		calls = append(calls, c)
 	}
-	w.pass(silence/2).post(Progressed{call: calls[0]})
+	w.pass(silence / 2).post(Progressed{call: calls[0]})
 	is.Equal(len(aborts(w.pass(silence/2).post(Ticked{}))), 0) // One stream still moves.
 	is.Equal(len(aborts(w.pass(silence).post(Ticked{}))), 3)
 }
