A restarted gateway admits nothing of a limited team until the store tells

The guess is now the whole limit, but for the first start of the system, before which nothing was admitted.

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -26,20 +26,23 @@
 	// quotaSlackShare and quotaOverShare are the parts of the slack and of a window's limit that are granted above it; the rest covers what peers admitted and have not told yet.
 	quotaSlackShare = 0.35
 	quotaOverShare  = 0.02
-	// startFill is the part of the limit that a fresh gateway takes as used in the window before its start, about which it knows nothing.
-	startFill = 0.85
 	// recentSlots is the slots in which peers may not have heard of what was admitted here.
 	recentSlots = 2
 	// unevenness is how many times its even part a gateway may use, since callers do not spread evenly.
 	unevenness = 1.3
 )
 
-// newQuota returns the quota of a team at the time since the gateway's start; what was admitted before the start is guessed.
-func newQuota(steady time.Duration, limit float64) *quota {
+// newQuota returns the quota of a team at the time since the gateway's start.
+// Nothing was admitted before the first start of the whole system; before any
+// other, the whole limit is taken as used until the store tells more.
+func newQuota(steady time.Duration, limit float64, firstStart bool) *quota {
 	q := &quota{at: slotOf(steady), limit: limit}
+	if firstStart {
+		return q
+	}
 	for i := q.at - quotaSlots + 1; i <= 0; i++ {
-		q.guess[(i+quotaSlots)%quotaSlots] = startFill * limit / quotaSlots
-		q.total += startFill * limit / quotaSlots
+		q.guess[(i+quotaSlots)%quotaSlots] = limit / quotaSlots
+		q.total += limit / quotaSlots
 	}
 	return q
 }
@@ -128,8 +131,8 @@
 	recallRate = 3
 	// clockDoubt is how far the clocks of two gateways may be apart.
 	clockDoubt = quotaWindow / quotaSlots
-	// recallGap is the seconds that may be missing: one between two records, and what peers had not told.
-	recallGap = 1.5
+	// recallGap is the seconds that may be missing: those between two records, and what peers had not told.
+	recallGap = 1.8
 )
 
 // wait returns how long until enough has left the window.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -8,6 +8,8 @@
 	domain      string
 	incarnation string
 	start       time.Time
+	// firstStart says that the whole system starts for the first time.
+	firstStart bool
 	// retryRatio and retryExtra bound the sends beyond the first of each request, over all gateways.
 	retryRatio, retryExtra float64
 	// quotaSlack is what a team's tokens may exceed its burst by, over all gateways.
@@ -57,6 +59,9 @@
 // WithDomains returns a copy with all failure domains.
 func (s Settings) WithDomains(domains []string) Settings { s.domains = domains; return s }
 
+// WithFirstStart returns a copy that says whether the whole system starts for the first time.
+func (s Settings) WithFirstStart(first bool) Settings { s.firstStart = first; return s }
+
 // Lease returns how long the holder of a duty keeps it unrenewed.
 func (s Settings) Lease() time.Duration { return s.lease }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -74,7 +74,7 @@
 		return s.rolloutRead(e.order)
 	case SettingsRead:
 		fresh := e.settings
-		fresh.name, fresh.domain, fresh.incarnation, fresh.start = s.settings.name, s.settings.domain, s.settings.incarnation, s.settings.start
+		fresh.name, fresh.domain, fresh.incarnation, fresh.start, fresh.firstStart = s.settings.name, s.settings.domain, s.settings.incarnation, s.settings.start, s.settings.firstStart
 		s.settings = fresh
 	case AdmittedRecalled:
 		return s.recall(e)
@@ -214,7 +214,7 @@
 	limit += quotaSlackShare*s.settings.quotaSlack + quotaOverShare*limit
 	q, ok := s.quotas[t.name]
 	if !ok {
-		q = newQuota(s.steady(), limit)
+		q = newQuota(s.steady(), limit, s.settings.firstStart)
 		s.quotas[t.name] = q
 	}
 	q.advance(s.steady(), limit)
