--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -294,7 +294,7 @@
 			is := is.New(t)
 			fresh := testUpstream("new")
 			w := newServingWorld(testUpstream("a").WithVersion("v1"), testUpstream("b").WithVersion("v1"), fresh.WithVersion("v2"))
-			w.state.settings = w.state.settings.WithExposure(0.1, 50)
+			w.state.settings = w.state.settings.WithExposure(0.1)
 			w.post(NewRolloutRead(NewRolloutOrder("desk", "v2", 12*time.Second, RolloutRunning)))
 			sent, all, afterVerdict := 0, 0, 0
 			for range 1200 { // 100 requests a second up to the deadline.
@@ -326,7 +326,7 @@
 func TestGoodVersionIsDoneInTime(t *testing.T) {
 	is := is.New(t)
 	w := newServingWorld(testUpstream("a").WithVersion("v1"), testUpstream("b").WithVersion("v1"), testUpstream("new").WithVersion("v2"))
-	w.state.settings = w.state.settings.WithExposure(0.1, 50)
+	w.state.settings = w.state.settings.WithExposure(0.1)
 	w.post(NewRolloutRead(NewRolloutOrder("desk", "v2", 12*time.Second, RolloutRunning)))
 	for range 1180 {
 		w.pass(10 * time.Millisecond)
--- a/gateway/catalogue.go
+++ b/gateway/catalogue.go
@@ -33,7 +33,6 @@
 	streaming          bool
 	resumable          bool
 	public             bool
-	sized              bool
 	timeout            time.Duration
 	goal               time.Duration
 	pause              time.Duration
@@ -71,9 +70,9 @@
 	return r
 }
 
-// WithAccess returns the route with whether it needs no key, and whether its requests carry prompts.
-func (r *Route) WithAccess(public, sized bool) *Route {
-	r.public, r.sized = public, sized
+// WithAccess returns the route with whether it needs no key.
+func (r *Route) WithAccess(public bool) *Route {
+	r.public = public
 	return r
 }
 
@@ -86,29 +85,26 @@
 // Scaling bounds the upstreams of a service in each failure domain.
 type Scaling struct {
 	least, most int
-	boot        time.Duration
-	spotPrice   float64
 	prices      map[string]float64
 }
 
-// NewScaling returns the bounds; spotPrice is a part of the domain's price, prices are by failure domain.
-func NewScaling(least, most int, boot time.Duration, spotPrice float64, prices map[string]float64) *Scaling {
-	return &Scaling{least: least, most: most, boot: boot, spotPrice: spotPrice, prices: prices}
+// NewScaling returns the bounds; prices are those of an upstream by failure domain.
+func NewScaling(least, most int, prices map[string]float64) *Scaling {
+	return &Scaling{least: least, most: most, prices: prices}
 }
 
 // Service is a group of upstreams that serve the same.
 type Service struct {
-	name        string
-	maxConns    int
-	slots       int
-	memory      int64
-	scaling     *Scaling
-	healthCheck string
+	name     string
+	maxConns int
+	slots    int
+	memory   int64
+	scaling  *Scaling
 }
 
 // NewService returns a service; maxConns bounds the connections of all gateways to one upstream.
-func NewService(name string, maxConns int, healthCheck string) *Service {
-	return &Service{name: name, maxConns: maxConns, healthCheck: healthCheck}
+func NewService(name string, maxConns int) *Service {
+	return &Service{name: name, maxConns: maxConns}
 }
 
 // WithEngine returns the service as one of model engines with slots and memory in tokens.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,7 +1,5 @@
 package gateway
 
-import "time"
-
 // Fleet is what there is of a service whose upstreams can be ordered.
 type Fleet struct {
 	service *Service
@@ -24,9 +22,6 @@
 // Most returns the largest number of upstreams in a failure domain.
 func (f *Fleet) Most() int { return f.service.scaling.most }
 
-// Boot returns how long a new upstream takes until it serves.
-func (f *Fleet) Boot() time.Duration { return f.service.scaling.boot }
-
 // Prices returns the price of an upstream by failure domain.
 func (f *Fleet) Prices() map[string]float64 { return f.service.scaling.prices }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,9 +18,9 @@
 	usageWindow time.Duration
 	// lease is how long the holder of a duty keeps it unrenewed.
 	lease time.Duration
-	// exposeShare and exposeSlack bound the requests to a version that is on trial.
-	exposeShare, exposeSlack float64
-	domains                  []string
+	// exposeShare bounds the requests to a version that is on trial.
+	exposeShare float64
+	domains     []string
 }
 
 // NewSettings returns the settings of the named gateway in the failure domain; the incarnation is new for each start.
@@ -50,11 +50,8 @@
 	return s
 }
 
-// WithExposure returns a copy with the share and the number of requests that a version on trial may get.
-func (s Settings) WithExposure(share, slack float64) Settings {
-	s.exposeShare, s.exposeSlack = share, slack
-	return s
-}
+// WithExposure returns a copy with the share of the requests that a version on trial may get.
+func (s Settings) WithExposure(share float64) Settings { s.exposeShare = share; return s }
 
 // WithDomains returns a copy with all failure domains.
 func (s Settings) WithDomains(domains []string) Settings { s.domains = domains; return s }
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -14,7 +14,7 @@
 		NewRoute("drafts", "shop.example", "/drafts/", NewBackend("models", 1)).WithTimes(12*time.Second, time.Second).WithRepeat(AtMostOnce, 2).WithStream(true, 500*time.Millisecond),
 		NewRoute("chats", "shop.example", "/chats/", NewBackend("models", 1)).WithTimes(12*time.Second, time.Second).WithStream(false, 500*time.Millisecond),
 	}
-	services := []*Service{NewService("desk", 96, "/health"), NewService("models", 360, "/health").WithEngine(64, 500_000)}
+	services := []*Service{NewService("desk", 96), NewService("models", 360).WithEngine(64, 500_000)}
 	return NewCatalogue(version, routes, services, teams, Limits{})
 }
 
