--- a/duty/duty.go
+++ b/duty/duty.go
@@ -368,7 +368,7 @@
 	err := d.cloud.OrderUpstreams(ctx, d.lease.Fence(), f.Service(), w)
 	d.lines.Write(rail.EventUpstreamsOrdered, gateway.NewField("service", f.Service()), gateway.NewField("domain", w.domain), gateway.NewField("spot", w.spot),
 		gateway.NewField("count", w.count), gateway.NewField("present", present), gateway.NewField("demand", int64(d.demand.rate)),
-		gateway.NewField("fence", d.lease.Fence()), gateway.NewField("error", errorText(err)))
+		gateway.NewField("fence", d.lease.Fence()), gateway.ErrorField(err))
 	o.count, o.at, o.done, o.met = w.count, now, err == nil, false
 	if w.spot {
 		d.dry[f.Service()] = errors.Is(err, ErrNone) || (err != nil && d.dry[f.Service()])
@@ -383,13 +383,6 @@
 	return nil // An order without an answer is made again.
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // tellRollouts tells the operator of each change of a rollout.
 func (d *Duty) tellRollouts(ctx context.Context) {
 	var verdicts map[string]gateway.RolloutOrder
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -220,12 +220,7 @@
 		p.load.waitingTokens = 0
 		p.target.own.subtract(waiting)
 	}
-	if !p.began {
-		p.began = true
-		if p.team != nil {
-			s.usage.count(s.window(), p.team.name, 1)
-		}
-	}
+	s.countBegan(p)
 }
 
 func (s *State) progressed(c *Call) {
@@ -270,7 +265,7 @@
 	var effects []Effect
 	effects = append(effects, report(rail.EventAttemptEnded, NewField("request", c.id), NewField("attempt", p.number), NewField("upstream", t.id),
 		NewField("kind", string(o.kind)), NewField("status", o.status), NewField("events", o.events), NewField("last", o.last),
-		NewField("tookMs", s.now.Sub(p.sent).Milliseconds()), NewField("error", errorText(o.err))))
+		NewField("tookMs", s.now.Sub(p.sent).Milliseconds()), ErrorField(o.err)))
 	if o.last != "" {
 		p.resume = o.last
 	}
@@ -305,6 +300,7 @@
 	return append(effects, s.refuse(c, p, kind, noUpstreamRetry/2)...)
 }
 
+// countBegan counts the call for the usage of its team, once.
 func (s *State) countBegan(p *progress) {
 	if !p.began {
 		p.began = true
@@ -366,13 +362,6 @@
 	return []Effect{report(rail.EventRequestRefused, fields...), Refuse{call: c, kind: kind, retryAfter: wait}}
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 const (
 	// silence is the time without any event from an engine with several streams after which it counts as dark.
 	silence = 450 * time.Millisecond
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -193,6 +193,14 @@
 // NewField returns the value under the key.
 func NewField(key string, value any) Field { return Field{key: key, value: value} }
 
+// ErrorField returns the error's text under its key, empty for none.
+func ErrorField(err error) Field {
+	if err == nil {
+		return NewField("error", "")
+	}
+	return NewField("error", err.Error())
+}
+
 // Key returns the key.
 func (f Field) Key() string { return f.key }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -92,9 +92,6 @@
 // Catalogue returns the configuration in force, nil before the first one.
 func (s *State) Catalogue() *Catalogue { return s.catalogue }
 
-// Calls returns the number of calls under way.
-func (s *State) Calls() int { return len(s.calls) }
-
 // gateways returns how many gateways share the limits: those that the store lists, and this one.
 func (s *State) gateways() int { return len(s.registered) + 1 }
 
