Answers without end, cut answers and repeated events: bounded, or aborted honestly

The splitter's start == from always held, so that a repeated event dropped the new ones before it; blocks without data or id counted as events and as progress; streams without ids were started again from the beginning after a part was delivered; a second copy of an answer without an id on a reused connection was taken for the next caller's. HEAD answers with a length failed.

Events are tracked one by one; what is no event is neither progress nor counted, 64 KiB of it end the stream. A stream without an event for what its callers wait for (max of 2 s, 4 goals, 8 gap goals, and 0.5 s) has stalled; an engine counts as silent only after the gap that the route allows. A call with a part of an answer that nobody can complete is not retried.

Fuzzing of the splitter found that one byte a read copied the buffer each time; it is kept in place now.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -290,7 +290,7 @@
 			s.countUsage(p)
 		}
 	}
-	if s.mayRetry(p, notRun) && s.now.Add(deadlineMargin).Before(p.deadline) {
+	if !o.final && s.mayRetry(p, notRun) && s.now.Add(deadlineMargin).Before(p.deadline) {
 		if next, wait := s.chooseUpstream(c, p); next != nil && (o.kind == rail.KindUpstreamUnreachable || s.spendRetry(p)) {
 			return append(effects, s.dispatch(c, p, next, wait)...)
 		}
@@ -373,13 +373,32 @@
 }
 
 const (
-	// silentEngineTimeout is the time without an event on any stream after which an engine counts as silent.
+	// silentEngineTimeout is the minimum time without an event on any stream after which an engine counts as silent.
 	silentEngineTimeout = 450 * time.Millisecond
 	// minSilentStreams is the number of streams needed to distinguish a silent engine from a slow request.
 	minSilentStreams = 2
+	// minStallTimeout, stallGoals and stallGaps bound the time without an event after which a stream counts as stalled:
+	// callers leave after two seconds, four times the goal or eight times the goal for gaps, whichever is longest.
+	minStallTimeout = 2 * time.Second
+	stallGoals      = 4
+	stallGaps       = 8
+	// stallMargin is what is added to that time, so that a caller that waits decides first.
+	stallMargin = 500 * time.Millisecond
 )
 
-// abortSilent aborts the resumable attempts at engines that stopped sending on all their streams at once.
+// silenceTimeout returns the time without an event after which an engine counts as silent for streams of the route. A gap
+// within the route's goal is none; progress is reported with a delay.
+func (r *Route) silenceTimeout() time.Duration {
+	return max(silentEngineTimeout, r.gapGoal+progressInterval)
+}
+
+// stallTimeout returns the time after an event in which a stream of the route must have another one, whatever bytes arrive.
+func (r *Route) stallTimeout() time.Duration {
+	return max(minStallTimeout, stallGoals*r.goal, stallGaps*r.gapGoal) + stallMargin
+}
+
+// abortSilent aborts the streams that stalled, and the resumable attempts at engines that stopped sending on all their
+// streams at once.
 func (s *State) abortSilent() []Effect {
 	type streamActivity struct {
 		streams int
@@ -402,8 +421,12 @@
 	}
 	var effects []Effect
 	for c, p := range s.calls {
+		if p.gotFirstToken && p.route.streaming && s.now.Sub(p.lastEventAt) >= p.route.stallTimeout() {
+			effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
+			continue
+		}
 		a := activity[p.target]
-		if a == nil || s.now.Sub(a.last) < silentEngineTimeout || !p.route.mayResume() || p.possibleRuns+1 >= p.route.attempts {
+		if a == nil || s.now.Sub(a.last) < p.route.silenceTimeout() || !p.route.mayResume() || p.possibleRuns+1 >= p.route.attempts {
 			continue
 		}
 		if a.streams < minSilentStreams && !s.peersSilent(p.target.domain) {
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -341,3 +341,52 @@
 		is.Equal(h.arrive(h.call("/orders/1")).(Send).upstream.version, "v2")
 	}
 }
+
+func streamConfig() *Config {
+	b := NewBackend("models", 1)
+	return NewConfig(1, []*Route{
+		NewRoute("draft", "shop.example", "/drafts/", b).WithTimes(12*time.Second, 500*time.Millisecond).WithRepeat(AtMostOnce, 2).WithStream(true, 600*time.Millisecond),
+		NewRoute("chat", "shop.example", "/chats/", b).WithTimes(12*time.Second, 500*time.Millisecond).WithStream(false, 600*time.Millisecond),
+	}, []*Service{NewService("models", 60).WithEngine(64, 500_000)}, []*Team{NewTeam("engravers", 1, []string{"key-1"})}, Limits{})
+}
+
+func TestSlowStreamsAreKeptAndStalledOnesAborted(t *testing.T) {
+	for _, path := range []string{"/drafts/1", "/chats/1"} {
+		is := is.New(t)
+		h := newHarness()
+		h.post(NewConfigRead(streamConfig(), "store"))
+		h.list(UpstreamSet(testEngine("a", "north")), UpstreamSet(testEngine("b", "north")))
+		var calls []*Call
+		for range 4 {
+			c := h.advance(time.Millisecond).call(path)
+			if _, ok := h.arrive(c).(Send); !ok {
+				t.Fatal("call was not sent")
+			}
+			h.post(AnswerStarted{call: c})
+			calls = append(calls, c)
+		}
+		// All streams of both engines pause for their goal at the same time, again and again.
+		for range 8 {
+			for range 6 {
+				is.Equal(len(aborts(h.advance(100*time.Millisecond).post(Ticked{}))), 0)
+			}
+			for _, c := range calls {
+				h.post(StreamProgressed{call: c})
+			}
+		}
+		// One stream stalls while the others go on.
+		stalled, begin := map[*Call]bool{}, h.now
+		for len(stalled) == 0 && h.now.Sub(begin) < 10*time.Second {
+			for _, e := range aborts(h.advance(100 * time.Millisecond).post(Ticked{})) {
+				stalled[e.call] = true
+			}
+			for _, c := range calls[1:] {
+				h.post(StreamProgressed{call: c})
+			}
+		}
+		is.Equal(len(stalled), 1)
+		is.True(stalled[calls[0]])
+		is.True(h.now.Sub(begin) >= 8*600*time.Millisecond) // Its caller would not wait for longer.
+		is.True(h.now.Sub(begin) <= 8*600*time.Millisecond+time.Second)
+	}
+}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -123,7 +123,9 @@
 	status int
 	// timedOut reports whether the upstream failed to answer in time.
 	timedOut bool
-	err      error
+	// final reports whether the caller has a part of an answer that no other attempt can complete.
+	final bool
+	err   error
 }
 
 // AttemptEnded reports that an attempt of a call ended.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,13 +53,17 @@
 	sender  Sender
 	log     Log
 	metrics Metrics
+	memory  *Memory
 }
 
 // New returns a gateway with the reducer's state.
 func New(state *State, sender Sender, log Log, metrics Metrics) *Gateway {
-	return &Gateway{state: state, aborts: map[*Call]context.CancelCauseFunc{}, sender: sender, log: log, metrics: metrics}
+	return &Gateway{state: state, aborts: map[*Call]context.CancelCauseFunc{}, sender: sender, log: log, metrics: metrics, memory: NewMemory(state.settings.messageMemory)}
 }
 
+// Memory returns the memory that the messages of all calls share.
+func (g *Gateway) Memory() *Memory { return g.memory }
+
 // Post applies the event and runs its effects. It returns the effect that the event's call must carry out, nil if there is none.
 func (g *Gateway) Post(e Event) Effect {
 	g.mu.Lock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,8 +18,6 @@
 const (
 	// answerGrace is the time after a call's deadline in which an upstream's own answer is still accepted.
 	answerGrace = 60 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is buffered before it is forwarded.
-	maxAnswerBytes = 16 << 20
 	// progressInterval is the minimum time between two StreamProgressed events of a stream.
 	progressInterval = 100 * time.Millisecond
 	// readBufferBytes is the size of the buffer for reading a stream.
@@ -35,12 +33,14 @@
 	call    *Call
 	writer  http.ResponseWriter
 	events  eventSplitter
-	// headerSent reports whether the answer's status and headers were sent.
-	headerSent bool
+	// headerSent reports whether the answer's status and headers were sent, streaming whether they are those of a stream.
+	headerSent, streaming bool
 	// failedAnswer is an upstream's error answer, forwarded if no other attempt follows.
 	failedAnswer *bufferedAnswer
 	disconnected bool
 	kind         rail.Kind
+	// reserved is the number of bytes that the call's answers hold of the gateway's memory.
+	reserved int64
 }
 
 type bufferedAnswer struct {
@@ -52,6 +52,7 @@
 // Serve answers the call; ctx ends when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, c *Call, w http.ResponseWriter) error {
 	r := &relay{gateway: g, call: c, writer: w}
+	defer func() { g.memory.Give(r.reserved) }()
 	if c.resume != "" {
 		r.events.resumeAfter(c.resume)
 	}
@@ -109,7 +110,7 @@
 	if e.route.streaming && answer.status >= statusOK && answer.status < statusMultipleChoices {
 		return r.forwardStream(ctx, e, answer, stopTimer)
 	}
-	return r.forwardBuffered(ctx, answer)
+	return r.forwardAnswer(ctx, answer, stopTimer)
 }
 
 // attemptFailure returns the outcome of a failed attempt; the kind is the cause of the abort if there was one.
@@ -120,65 +121,122 @@
 	}
 	var timeout interface{ Timeout() bool }
 	timedOut := kind == rail.KindUpstreamSilent || (errors.As(err, &timeout) && timeout.Timeout())
-	return Outcome{kind: kind, err: err, events: r.events.delivered, lastEventID: r.events.lastEventID, timedOut: timedOut}
+	return Outcome{kind: kind, err: err, events: r.events.delivered, lastEventID: r.events.lastEventID, timedOut: timedOut, final: r.final()}
 }
 
-// forwardBuffered reads a complete answer and forwards it, or keeps it if it is a failure.
-func (r *relay) forwardBuffered(ctx context.Context, a *Answer) Outcome {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxAnswerBytes))
-	if err != nil {
-		return r.attemptFailure(ctx, rail.WrapError(err, rail.KindUpstreamFailed, "read upstream answer"))
+// final reports whether the caller has a part of an answer that no other attempt can complete.
+func (r *relay) final() bool { return r.headerSent && (!r.streaming || !r.events.resumable()) }
+
+// forwardAnswer forwards an answer that is no stream. One that fits into the buffer is read completely first, so that the
+// call can go to another upstream if it breaks off; a larger one is forwarded as it arrives.
+func (r *relay) forwardAnswer(ctx context.Context, a *Answer, stopTimer func() bool) Outcome {
+	body := newMessageBuffer(r.gateway.memory, &r.reserved)
+	for body.grow() {
+		n, err := a.body.Read(body.data[len(body.data):cap(body.data)])
+		body.data = body.data[:len(body.data)+n]
+		if errors.Is(err, io.EOF) {
+			return r.answerRead(ctx, a, body.data)
+		}
+		if err != nil {
+			return r.attemptFailure(ctx, rail.WrapError(err, rail.KindUpstreamFailed, "read upstream answer"))
+		}
+	}
+	if a.status >= minServerErrorStatus || r.headerSent {
+		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamFailed, "failure of more than %d bytes", len(body.data)))
 	}
+	if !stopTimer() { // Once the caller has a part of the answer, no other attempt can replace this one.
+		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamSilent, "answer is slower than the failover timeout"))
+	}
+	return r.forwardLarge(ctx, a, body.data)
+}
+
+// answerRead delivers a complete answer, or keeps it if it is a failure.
+func (r *relay) answerRead(ctx context.Context, a *Answer, body []byte) Outcome {
 	if a.length >= 0 && int64(len(body)) != a.length {
 		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamFailed, "upstream answer ended after %d of %d bytes", len(body), a.length))
 	}
 	buffered := &bufferedAnswer{status: a.status, header: a.header, body: body}
 	if a.status >= minServerErrorStatus {
 		r.failedAnswer = buffered
-		return Outcome{kind: rail.KindUpstreamFailed, answered: true, status: a.status, events: r.events.delivered, lastEventID: r.events.lastEventID}
+		return Outcome{kind: rail.KindUpstreamFailed, answered: true, status: a.status, events: r.events.delivered, lastEventID: r.events.lastEventID, final: r.final()}
 	}
 	if r.headerSent {
-		return Outcome{kind: rail.KindUpstreamFailed, status: a.status, events: r.events.delivered, lastEventID: r.events.lastEventID}
+		return Outcome{kind: rail.KindUpstreamFailed, status: a.status, events: r.events.delivered, lastEventID: r.events.lastEventID, final: true}
 	}
 	_ = r.deliver(buffered) // A disconnected caller is detected by the context.
 	return Outcome{status: a.status, answered: true}
 }
 
-// forwardStream forwards the events of a stream as they arrive.
+// forwardLarge forwards an answer whose first bytes have been read, and the rest as it arrives.
+func (r *relay) forwardLarge(ctx context.Context, a *Answer, begin []byte) Outcome {
+	control := http.NewResponseController(r.writer)
+	if a.length >= 0 {
+		r.writer.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+	r.sendHeader(a)
+	if !r.write(control, begin) {
+		return Outcome{kind: rail.KindCancelled}
+	}
+	buffer := make([]byte, readBufferBytes)
+	for forwarded := int64(len(begin)); ; {
+		n, err := a.body.Read(buffer)
+		if forwarded += int64(n); n > 0 && !r.write(control, buffer[:n]) {
+			return Outcome{kind: rail.KindCancelled}
+		}
+		if errors.Is(err, io.EOF) && (a.length < 0 || forwarded == a.length) {
+			return Outcome{status: a.status, answered: true}
+		}
+		if err != nil {
+			return r.attemptFailure(ctx, rail.WrapError(err, rail.KindUpstreamFailed, "read upstream answer"))
+		}
+	}
+}
+
+// forwardStream forwards the events of a stream as they arrive. What is no event is forwarded after the first event only,
+// so that a stream that never has one can still be answered otherwise.
 func (r *relay) forwardStream(ctx context.Context, e Send, a *Answer, stopTimer func() bool) Outcome {
+	r.streaming = true
 	r.events.restart()
 	buffer := make([]byte, readBufferBytes)
 	control := http.NewResponseController(r.writer)
+	var held []byte
 	first, progressedAt := true, time.Time{}
 	for {
 		n, err := a.body.Read(buffer)
-		if n > 0 {
-			complete, splitErr := r.events.add(buffer[:n])
-			if splitErr != nil {
-				return r.attemptFailure(ctx, rail.WrapError(splitErr, rail.KindUpstreamFailed, "split upstream stream into events"))
+		complete, events, splitErr := r.events.add(buffer[:n])
+		if events > 0 {
+			if first {
+				first = false
+				stopTimer()
+				r.gateway.Post(AnswerStarted{call: r.call})
+				r.gateway.metrics.FirstToken(rail.RouteName(e.route.name), time.Since(r.call.arrived))
+				progressedAt = time.Now()
+			} else if now := time.Now(); now.Sub(progressedAt) >= progressInterval {
+				progressedAt = now
+				r.gateway.Post(StreamProgressed{call: r.call})
 			}
-			if len(complete) > 0 {
-				if first {
-					first = false
-					stopTimer()
-					r.gateway.Post(AnswerStarted{call: r.call})
-					r.gateway.metrics.FirstToken(rail.RouteName(e.route.name), time.Since(r.call.arrived))
-					progressedAt = time.Now()
-				} else if now := time.Now(); now.Sub(progressedAt) >= progressInterval {
-					progressedAt = now
-					r.gateway.Post(StreamProgressed{call: r.call})
-				}
-				r.sendHeader(a)
-				if !r.write(control, complete) {
-					return Outcome{kind: rail.KindCancelled}
-				}
+			r.sendHeader(a)
+		}
+		if held = append(held, complete...); r.headerSent && len(held) > 0 {
+			if !r.write(control, held) {
+				return Outcome{kind: rail.KindCancelled}
 			}
+			held = held[:0]
+		}
+		if splitErr == nil && !r.reserve(len(r.events.buffer)-minBufferBytes) {
+			splitErr = errors.New("forwardStream: no memory is left for a long event")
+		}
+		if splitErr != nil {
+			return r.attemptFailure(ctx, rail.WrapError(splitErr, rail.KindUpstreamFailed, "split upstream stream into events"))
 		}
 		if errors.Is(err, io.EOF) {
-			if len(r.events.buffer) > 0 {
+			if !r.events.ended() {
 				return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamFailed, "upstream stream ended within an event"))
 			}
 			r.sendHeader(a)
+			if len(held) > 0 && !r.write(control, held) {
+				return Outcome{kind: rail.KindCancelled}
+			}
 			return Outcome{status: a.status, answered: true, events: r.events.delivered, lastEventID: r.events.lastEventID}
 		}
 		if err != nil {
@@ -187,6 +245,19 @@
 	}
 }
 
+// reserve makes the call hold at least the number of bytes of the gateway's memory, and reports whether it could.
+func (r *relay) reserve(n int) bool {
+	missing := int64(n) - r.reserved
+	if missing <= 0 {
+		return true
+	}
+	if !r.gateway.memory.Take(missing) {
+		return false
+	}
+	r.reserved += missing
+	return true
+}
+
 // write sends bytes to the caller, flushes them and reports whether this succeeded.
 func (r *relay) write(control *http.ResponseController, data []byte) bool {
 	if _, err := r.writer.Write(data); err != nil {
@@ -226,7 +297,9 @@
 	}
 	r.headerSent = true
 	copyHeader(r.writer.Header(), buffered.header)
-	r.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	if r.call.message.method != http.MethodHead {
+		r.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	}
 	r.writer.WriteHeader(buffered.status)
 	if _, err := r.writer.Write(buffered.body); err != nil {
 		return ErrAborted
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -19,12 +19,13 @@
 	lease time.Duration
 	// exposeShare bounds the share of requests that go to a version on trial.
 	exposeShare float64
-	domains     []string
+	// messageMemory bounds the bytes of messages that are buffered, over all calls.
+	messageMemory int64
 }
 
 // NewSettings returns the settings of the named gateway in the failure domain; each start has a new incarnation.
 func NewSettings(name, domain, incarnation string, startedAt time.Time) Settings {
-	return Settings{name: name, domain: domain, incarnation: incarnation, startedAt: startedAt, usageWindow: DefaultUsageWindow, lease: DefaultLease, slack: NewSlack(DefaultQuotaWindow, 0, 0)}
+	return Settings{name: name, domain: domain, incarnation: incarnation, startedAt: startedAt, usageWindow: DefaultUsageWindow, lease: DefaultLease, messageMemory: DefaultMessageMemory, slack: NewSlack(DefaultQuotaWindow, 0, 0)}
 }
 
 const (
@@ -34,6 +35,8 @@
 	DefaultQuotaWindow = 8 * time.Second
 	// DefaultLease is the default duration of a duty lease.
 	DefaultLease = 3 * time.Second
+	// DefaultMessageMemory is the default bound on the bytes of messages that are buffered, over all calls.
+	DefaultMessageMemory = 16 << 20
 )
 
 // WithRetries returns a copy with the bound on retries in a window of ten seconds over all gateways: a ratio to the requests, and a number in addition.
@@ -54,8 +57,8 @@
 // WithExposure returns a copy with the maximum share of requests that go to a version on trial.
 func (s Settings) WithExposure(share float64) Settings { s.exposeShare = share; return s }
 
-// WithDomains returns a copy with all failure domains.
-func (s Settings) WithDomains(domains []string) Settings { s.domains = domains; return s }
+// WithMessageMemory returns a copy with the bound on the bytes of messages that are buffered, over all calls.
+func (s Settings) WithMessageMemory(size int64) Settings { s.messageMemory = size; return s }
 
 // WithFirstStart returns a copy that states whether this is the first start of the whole system.
 func (s Settings) WithFirstStart(first bool) Settings { s.firstStart = first; return s }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,20 +9,41 @@
 
 // eventSplitter splits a stream into complete events. An upstream may fail in
 // the middle of an event, and only complete events may be forwarded so that the
-// stream can be resumed at another upstream.
+// stream can be resumed at another upstream. Event ids are increasing integers;
+// a stream with other ids, or with none, is forwarded but cannot be resumed.
 type eventSplitter struct {
-	buffer      []byte
+	buffer []byte
+	// scanned is the number of buffered bytes in which no block ends.
+	scanned     int
 	delivered   int
 	lastEventID string
 	lastNumber  int64
 	hasNumber   bool
+	// unnumbered counts the events without a number since the last one that has one.
+	unnumbered int
+	// repeating reports whether the last event was one that the caller has already.
+	repeating bool
+	// idleBytes is the size of the blocks that are no events since the last event.
+	idleBytes int
 }
 
-// errGap reports that a resumed stream does not continue where the last one ended.
-var errGap = errors.New("track: stream skipped an event")
+var (
+	// errGap reports that a resumed stream does not continue where the last one ended.
+	errGap = errors.New("track: stream skipped an event")
+	// errAmbiguous reports an event without an id among repeated ones: whether the caller has it is not known.
+	errAmbiguous = errors.New("track: event without an id follows a repeated event")
+	// errTooLong reports an event that is too long to be buffered.
+	errTooLong = errors.New("add: event is too long")
+	// errIdle reports a stream that goes on without events.
+	errIdle = errors.New("add: stream goes on without events")
+)
 
-// maxEventBytes bounds the buffer for an incomplete event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the buffer for an incomplete event.
+	maxEventBytes = 256 << 10
+	// maxIdleBytes bounds the comments and blank lines between two events.
+	maxIdleBytes = 64 << 10
+)
 
 // resumeAfter sets the id of the event after which the stream resumes.
 func (s *eventSplitter) resumeAfter(id string) {
@@ -32,61 +53,103 @@
 }
 
 // restart discards the incomplete event of the previous stream.
-func (s *eventSplitter) restart() { s.buffer = s.buffer[:0] }
+func (s *eventSplitter) restart() {
+	s.buffer, s.scanned, s.idleBytes, s.repeating = s.buffer[:0], 0, 0, false
+}
+
+// resumable reports whether the stream can go on after its last event that was delivered, or start if none was.
+func (s *eventSplitter) resumable() bool { return s.unnumbered == 0 }
+
+// ended reports whether the data so far ends with a complete block.
+func (s *eventSplitter) ended() bool { return len(s.buffer) == 0 }
 
-// add buffers the data and returns the complete events that the caller does not have yet.
-func (s *eventSplitter) add(data []byte) ([]byte, error) {
+// add buffers the data. It returns the complete blocks that the caller does not have yet, also together with an error,
+// and the number of events among them.
+func (s *eventSplitter) add(data []byte) (complete []byte, events int, err error) {
 	s.buffer = append(s.buffer, data...)
-	if len(s.buffer) > maxEventBytes {
-		return nil, errors.New("add: event is too long")
+	begin := 0
+	for err == nil {
+		end := s.nextBlock(begin)
+		if end < 0 {
+			break
+		}
+		block := s.buffer[begin:end]
+		begin = end
+		if !isEvent(block) {
+			if s.idleBytes += len(block); s.idleBytes > maxIdleBytes {
+				err = errIdle
+				break
+			}
+			complete = append(complete, block...)
+			continue
+		}
+		s.idleBytes = 0
+		var repeated bool
+		if repeated, err = s.track(block); err == nil && !repeated {
+			events++
+			complete = append(complete, block...)
+		}
+	}
+	if begin > 0 {
+		s.buffer = append(s.buffer[:0], s.buffer[begin:]...)
+		s.scanned = max(0, s.scanned-begin)
 	}
-	end, start, from := 0, 0, 0
+	if err == nil && len(s.buffer) > maxEventBytes {
+		err = errTooLong
+	}
+	return complete, events, err
+}
+
+// nextBlock returns the end of the block of lines that begins at the index, with the blank line that ends it, or -1 if it is incomplete.
+func (s *eventSplitter) nextBlock(begin int) int {
+	line := max(begin, s.scanned)
 	for {
-		n, size := boundary(s.buffer[end:])
+		n := bytes.IndexByte(s.buffer[line:], '\n')
 		if n < 0 {
-			break
-		}
-		event := s.buffer[end : end+n]
-		end += n + size
-		repeated, err := s.track(event)
-		if err != nil {
-			return nil, err
+			s.scanned = line
+			return -1
 		}
-		if repeated && start == from {
-			start, from = end, end // Skips leading events that were delivered before.
+		blank := n == 0 || (n == 1 && s.buffer[line] == '\r')
+		line += n + 1
+		if blank {
+			return line
 		}
 	}
-	complete := append([]byte(nil), s.buffer[start:end]...)
-	s.buffer = append(s.buffer[:0], s.buffer[end:]...)
-	return complete, nil
 }
 
-// boundary returns the length of the first event, negative if it is incomplete, and the length of the blank line that ends it.
-func boundary(data []byte) (length, blank int) {
-	lf, crlf := bytes.Index(data, []byte("\n\n")), bytes.Index(data, []byte("\r\n\r\n"))
-	if crlf >= 0 && (lf < 0 || crlf < lf) {
-		return crlf, 4
+// isEvent reports whether the block has a field that a caller gets: comments and blank lines are no events.
+func isEvent(block []byte) bool {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
+		if string(name) == "data" || string(name) == "id" {
+			return true
+		}
 	}
-	return lf, 2
+	return false
 }
 
 // track counts the event unless it was delivered before, and reports whether it was.
 func (s *eventSplitter) track(event []byte) (repeated bool, err error) {
 	id, ok := eventID(event)
-	if !ok {
+	n, parseErr := strconv.ParseInt(id, 10, 64)
+	if !ok || parseErr != nil {
+		if s.repeating {
+			return false, errAmbiguous
+		}
+		s.unnumbered++
 		s.delivered++
 		return false, nil
 	}
-	n, parseErr := strconv.ParseInt(id, 10, 64)
-	if parseErr == nil && s.hasNumber {
-		if n <= s.lastNumber {
+	if s.hasNumber {
+		if s.repeating = n <= s.lastNumber; s.repeating {
 			return true, nil
 		}
 		if n > s.lastNumber+1 {
 			return false, errGap
 		}
 	}
-	s.lastEventID, s.lastNumber, s.hasNumber = id, n, parseErr == nil
+	s.lastEventID, s.lastNumber, s.hasNumber = id, n, true
+	s.unnumbered = 0
 	s.delivered++
 	return false, nil
 }
