--- a/engine/client.go
+++ b/engine/client.go
@@ -33,6 +33,8 @@
 		MaxIdleConnsPerHost: s.maxIdlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: rail.MaxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{settings: s, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
@@ -166,8 +168,11 @@
 	return rail.NewError(rail.KindUpstreamFailed, "status %d", r.StatusCode)
 }
 
+// maxDrainBytes bounds the rest of a body that is read so that its connection can be reused.
+const maxDrainBytes = 4 << 10
+
 // drainAndClose reads the rest of a short body, so that the connection can be reused.
 func (c *Client) drainAndClose(r *http.Response) {
-	_, _ = io.CopyN(io.Discard, r.Body, c.settings.maxBodyBytes)
+	_, _ = io.CopyN(io.Discard, r.Body, maxDrainBytes)
 	_ = r.Body.Close() // The response was read; if the connection is lost, the next call opens a new one.
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -92,7 +92,7 @@
 
 // compose builds the reducers, the loop, the effect runner and the callers' server.
 func (d *Daemon) compose() error {
-	d.platform = outside.New(d.settings.Platform(), &http.Client{})
+	d.platform = outside.New(d.settings.Platform(), &http.Client{Transport: outside.Transport()})
 	d.log = outside.NewEnvironmentLog(d.platform, d.settings.Environment())
 	answers := d.settings.Answers().WithInstance(d.me.ID())
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Not for secrets.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -37,7 +37,7 @@
 	if clientKeys != nil {
 		scheme = "https"
 	}
-	base := &http.Transport{TLSClientConfig: clientKeys, MaxIdleConnsPerHost: maxIdlePeers, IdleConnTimeout: idlePeerTimeout}
+	base := &http.Transport{TLSClientConfig: clientKeys, MaxIdleConnsPerHost: maxIdlePeers, IdleConnTimeout: idlePeerTimeout, MaxResponseHeaderBytes: rail.MaxHeadBytes}
 	client := &http.Client{Transport: timeline.Transport(d.ring, base)}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", d.metrics.Handler())
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -172,6 +172,12 @@
 	return Limits{headerBytes: headerBytes, bodyBytes: bodyBytes, headerTime: headerTime, idleTime: idleTime}
 }
 
+// HeaderBytes returns the maximum size of a request's line and headers.
+func (l Limits) HeaderBytes() int64 { return l.headerBytes }
+
+// HeaderTime returns how long a caller may take to send a request's headers.
+func (l Limits) HeaderTime() time.Duration { return l.headerTime }
+
 // BodyBytes returns the maximum size of a request body.
 func (l Limits) BodyBytes() int64 { return l.bodyBytes }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -47,7 +47,7 @@
 // New returns the gossip of a gateway; the watchers, by topic, follow what peers may mirror, and may be added until Run is started.
 func New(g *gateway.Gateway, watchers map[string]*gateway.Watcher, log gateway.Log, group rail.Group) *Gossip {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: rail.MaxHeadBytes}
 	return &Gossip{
 		gateway: g, watchers: watchers, log: log, group: group, client: &http.Client{Transport: transport, Timeout: exchangeTimeout},
 		unreachable: map[string]time.Time{},
--- a/outside/client.go
+++ b/outside/client.go
@@ -19,8 +19,8 @@
 const (
 	// callTimeout bounds a call, except for the time that a read waits for a record.
 	callTimeout = 2 * time.Second
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes bounds the body of a response; the list of 1,530 instances has 380 KB.
+	maxResponseBytes = 8 << 20
 	// maxMessageBytes bounds how much of an error response's body is copied into the error.
 	maxMessageBytes = 200
 )
@@ -37,6 +37,11 @@
 	_ rail.Cloud        = (*Client)(nil)
 )
 
+// Transport returns a transport for calls to the platform that bounds what it reads of a response's head.
+func Transport() *http.Transport {
+	return &http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: rail.MaxHeadBytes}
+}
+
 // New returns a client of the platform at the base URL.
 func New(baseURL string, client *http.Client) *Client {
 	return &Client{base: strings.TrimRight(baseURL, "/"), client: client}
@@ -56,11 +61,14 @@
 		return rail.WrapError(err, rail.KindPlatformUnavailable, method+" "+path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		c.closeIdleAfterTimeout(ctx)
 		return rail.WrapError(err, rail.KindPlatformUnavailable, method+" "+path)
 	}
+	if len(body) > maxResponseBytes {
+		return rail.NewError(rail.KindPlatformUnavailable, "%s %s: response of more than %d bytes", method, path, maxResponseBytes)
+	}
 	if resp.StatusCode/100 != 2 {
 		return statusError(resp.StatusCode, method, path, body)
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -46,7 +46,8 @@
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 			// The transport retries a request by itself only on a reused connection.
-			DisableKeepAlives: unpooled,
+			DisableKeepAlives:      unpooled,
+			MaxResponseHeaderBytes: rail.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
