Duties: a stop does not cancel a call that is on its way, and no call outlasts the lease

A call could start just before the end of the lease and take 0.6 s; what a read returned counted as seen when the read began, before some of it was written.

Change: a call's time ends with the lease; the stop lets it finish, and a lease whose last call has no reply expires instead of being released. Read records count from the end of the read.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -82,6 +82,8 @@
 	spotUnavailable  map[string]bool
 	refusedAt        time.Time
 	reportedRollouts map[string]gateway.RolloutState
+	// unanswered reports that the cloud did not reply to a call, which it may still carry out.
+	unanswered bool
 }
 
 // listing is the number of listed upstreams of a service and the time at which it last grew.
@@ -210,8 +212,7 @@
 
 // readTopic applies the records that other gateways wrote to the topic.
 func (r *Runner) readTopic(ctx context.Context) error {
-	at := r.now()
-	r.lastRead = at
+	r.lastRead = r.now()
 	var b gateway.Batch
 	err := gateway.ErrCompacted
 	if r.lease.Next() > 0 {
@@ -224,7 +225,7 @@
 		return err
 	}
 	first := r.lease.Next() == 0
-	if err := r.lease.Apply(b.Records(), b.Next(), at); err != nil {
+	if err := r.lease.Apply(b.Records(), b.Next(), r.now()); err != nil {
 		return err
 	}
 	if admitted, wall := r.lease.Admitted(); first && len(admitted) > 0 {
@@ -237,6 +238,10 @@
 	if !r.lease.Held(r.now()) {
 		return
 	}
+	if r.unanswered { // The next holder must not act before that call.
+		r.log.Write(rail.EventDutyLost, gateway.NewField("fence", r.lease.Fence()), gateway.NewField("error", "a call has no reply: the lease expires instead of being released"))
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key, value, err := r.lease.Release()
@@ -258,7 +263,7 @@
 		last--
 	}
 	for w := last - reportedWindows + 1; w <= last; w++ {
-		if r.reported[w] || !r.lease.Held(r.now()) {
+		if r.reported[w] || ctx.Err() != nil || !r.lease.Held(r.now()) {
 			continue
 		}
 		if err := r.reportWindow(ctx, w); err != nil {
@@ -294,7 +299,7 @@
 			return err
 		}
 	}
-	if err := r.cloud.ReportUsage(ctx, r.lease.Fence(), w, counts); err != nil {
+	if err := r.callCloud(ctx, func(ctx context.Context) error { return r.cloud.ReportUsage(ctx, r.lease.Fence(), w, counts) }); err != nil {
 		return err
 	}
 	r.reported[w] = true
@@ -302,6 +307,23 @@
 	return nil
 }
 
+// errNotHeld is returned for a call that the lease does not cover any more.
+var errNotHeld = errors.New("duty: the lease has ended")
+
+// callCloud makes a call as the holder. The call must end before the lease does, and a stop of this gateway does not cancel
+// it: a call that was sent may be carried out later, after those of the next holder.
+func (r *Runner) callCloud(ctx context.Context, call func(context.Context) error) error {
+	remaining := r.lease.Remaining(r.now())
+	if remaining <= 0 || ctx.Err() != nil {
+		return errNotHeld
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(callTimeout, remaining))
+	defer cancel()
+	err := call(ctx)
+	r.unanswered = err != nil && ctx.Err() != nil
+	return err
+}
+
 // demandMeter measures the demand of all gateways in prompt tokens a second.
 type demandMeter struct {
 	total int64
@@ -393,12 +415,10 @@
 		return nil
 	case o.accepted && o.count == c.count && !o.fulfilled && now.Sub(o.at) < orderRetryDelay:
 		return nil
-	case !r.lease.Held(r.now()):
+	case ctx.Err() != nil || !r.lease.Held(r.now()):
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.cloud.OrderUpstreams(ctx, r.lease.Fence(), f.Service(), c)
+	err := r.callCloud(ctx, func(ctx context.Context) error { return r.cloud.OrderUpstreams(ctx, r.lease.Fence(), f.Service(), c) })
 	r.log.Write(rail.EventUpstreamsOrdered, gateway.NewField("service", f.Service()), gateway.NewField("domain", c.domain), gateway.NewField("spot", c.spot),
 		gateway.NewField("count", c.count), gateway.NewField("present", present), gateway.NewField("demand", int64(r.demand.rate)),
 		gateway.NewField("fence", r.lease.Fence()), gateway.ErrorField(err))
@@ -425,10 +445,7 @@
 		if r.reportedRollouts[k] == o.State() {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.cloud.ReportRollout(callCtx, o)
-		cancel()
-		if err != nil {
+		if err := r.callCloud(ctx, func(ctx context.Context) error { return r.cloud.ReportRollout(ctx, o) }); err != nil {
 			r.handleLeaseError(err)
 			return
 		}
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -66,7 +66,8 @@
 	return &Lease{name: name, incarnation: incarnation, length: length, takeoverDelay: takeoverDelay, usage: map[int64]map[string]int64{}}
 }
 
-// Apply applies records of the topic and sets the offset to read from next; at is when the read was started.
+// Apply applies records of the topic and sets the offset to read from next; at is when they had been read, so that none of
+// them is newer.
 func (l *Lease) Apply(records []gateway.Record, next int64, at time.Duration) error {
 	var err error
 	for _, r := range records {
@@ -132,6 +133,14 @@
 // Held reports whether this gateway may act on the lease now.
 func (l *Lease) Held(now time.Duration) bool { return l.heldUntil > 0 && now < l.heldUntil }
 
+// Remaining returns how long this gateway may still act on the lease.
+func (l *Lease) Remaining(now time.Duration) time.Duration {
+	if !l.Held(now) {
+		return 0
+	}
+	return l.heldUntil - now
+}
+
 // Admitted returns what teams had admitted up to the time of the newest record.
 func (l *Lease) Admitted() (admitted map[string][]int64, at time.Time) {
 	return l.record.Admitted, time.UnixMilli(l.record.Wall)
