Duties: the simulation of hand-overs has no data race of its own

The commit before was red under the race detector: the simulation read and wrote which process runs on a machine from two goroutines. TestHandover and TestStopDuringACall pass with -race (20 s).

--- a/duty/handover_test.go
+++ b/duty/handover_test.go
@@ -31,8 +31,8 @@
 type dutyCall struct {
 	subject string
 	holder  string
-	fence  int64
-	at     time.Duration
+	fence   int64
+	at      time.Duration
 	// excused reports that the call arrived right after its sender was paused or partitioned.
 	excused bool
 }
@@ -68,6 +68,8 @@
 	// silent reports that no digests of this machine reach the others.
 	silent    bool
 	resumedAt time.Duration
+	// running is the gateway of the current process, nil while there is none.
+	running *gateway.Gateway
 }
 
 // dutyProcess is the topic and the cloud as one process sees them.
@@ -249,6 +251,7 @@
 	runner := New(lease, n.gateway, n.process, n.process, discardLog{}, n.process.clock, true, true)
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
+	n.setRunning(n.gateway)
 	n.simulation.running.Add(1)
 	go func() {
 		defer n.simulation.running.Done()
@@ -264,35 +267,41 @@
 		usage = append(usage, &railv1.UsageWindow{Number: w, Counts: map[string]int64{"engravers": w % 100, "co-op": sequence}})
 	}
 	for _, n := range h.nodes {
-		if n.stop == nil || n.isPaused() {
+		g, _ := n.announcing()
+		if g == nil {
 			continue
 		}
-		n.gateway.Post(gateway.NewDigestReceived(gateway.DigestFrom(&railv1.GatewayDigest{Gateway: "busy", Incarnation: "1", Sequence: sequence, WallMs: time.Now().UnixMilli(), Usage: usage})))
+		g.Post(gateway.NewDigestReceived(gateway.DigestFrom(&railv1.GatewayDigest{Gateway: "busy", Incarnation: "1", Sequence: sequence, WallMs: time.Now().UnixMilli(), Usage: usage})))
 		for _, m := range h.nodes {
-			if m != n && m.stop != nil && !m.isPaused() && !m.isSilent() {
-				n.gateway.Post(gateway.NewDigestReceived(m.gateway.Digest()))
+			if peer, silent := m.announcing(); m != n && peer != nil && !silent {
+				g.Post(gateway.NewDigestReceived(peer.Digest()))
 			}
 		}
 	}
 }
 
-func (n *dutyNode) isPaused() bool {
+// announcing returns the gateway that runs on the machine, nil if none does or the machine is paused, and whether its
+// digests reach nobody.
+func (n *dutyNode) announcing() (g *gateway.Gateway, silent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.paused
+	if n.paused {
+		return nil, false
+	}
+	return n.running, n.silent || n.partitioned
 }
 
-func (n *dutyNode) isSilent() bool {
+func (n *dutyNode) setPaused(paused bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.silent || n.partitioned
+	n.paused = paused
+	n.resumedAt = n.simulation.now()
 }
 
-func (n *dutyNode) setPaused(paused bool) {
+func (n *dutyNode) setRunning(g *gateway.Gateway) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.paused = paused
-	n.resumedAt = n.simulation.now()
+	n.running = g
 }
 
 func (n *dutyNode) setPartitioned(partitioned bool) {
@@ -319,9 +328,6 @@
 	}
 	kind := h.random.IntN(5)
 	h.mu.Unlock()
-	if n.stop == nil {
-		return
-	}
 	switch kind {
 	case 0: // Paused: a freeze, or a suspended machine.
 		n.setPaused(true)
@@ -333,16 +339,14 @@
 		n.setStoreLost(true, h.chance(0.5))
 		time.AfterFunc(h.between(200*time.Millisecond, 12*time.Second), func() { n.setStoreLost(false, false) })
 	case 2: // Planned stop and start.
-		stop := n.stop
-		n.stop = nil
-		stop()
+		n.setRunning(nil)
+		n.stop()
 		time.Sleep(h.between(2500*time.Millisecond, 5*time.Second)) // It accepts requests for 2.5 s more.
 		n.start()
 	case 3: // Killed and started.
-		stop := n.stop
-		n.stop = nil
+		n.setRunning(nil)
 		close(n.process.killed)
-		stop()
+		n.stop()
 		time.Sleep(h.between(300*time.Millisecond, 2*time.Second))
 		n.start()
 	}
