--- a/gateway/fleetquota_test.go
+++ b/gateway/fleetquota_test.go
@@ -20,7 +20,11 @@
 	refused       int
 	nextGateway   int
 	otherRequests int
-	team          *Team
+	slack         Slack
+	// only is the gateway that gets all of the team's requests, negative if they are spread evenly; down holds those that ended.
+	only int
+	down map[int]bool
+	team *Team
 	cost          float64
 	allowed       float64
 }
@@ -30,6 +34,7 @@
 	f := &simulatedFleet{
 		team: NewTeam("engravers", 1, []string{"key-1"}).WithLimit(rate, rate, true, 200), cost: cost,
 		allowed: 9*rate*1.1 + testSlackTokens, start: time.Date(2026, 6, 9, 0, 0, 0, 0, time.UTC), partitioned: map[int]bool{}, admitted: map[time.Duration]float64{},
+		slack: testSlack, only: -1, down: map[int]bool{},
 	}
 	f.now = f.start
 	for range n {
@@ -40,7 +45,7 @@
 
 func (f *simulatedFleet) add(firstStart bool) {
 	name := "gateway-" + strconv.Itoa(len(f.states))
-	settings := NewSettings(name, "north", name, f.now).WithRetries(0.2, 60).WithFirstStart(firstStart).WithSlack(testSlack)
+	settings := NewSettings(name, "north", name, f.now).WithRetries(0.2, 60).WithFirstStart(firstStart).WithSlack(f.slack)
 	s := NewState(settings)
 	s.Reduce(f.now, NewConfigRead(testConfig(1, f.team), "store"))
 	f.states = append(f.states, s)
@@ -63,8 +68,13 @@
 		f.states[f.otherRequests%len(f.states)].arrivals.add([]string{"printers", "binders", "gilders", "carvers"}[f.otherRequests/len(f.states)%4])
 		owed += tokensPerSecond * step.Seconds()
 		for ; owed >= f.cost; owed -= f.cost {
+			for f.nextGateway++; f.down[f.nextGateway%len(f.states)]; {
+				f.nextGateway++
+			}
 			s := f.states[f.nextGateway%len(f.states)]
-			f.nextGateway++
+			if f.only >= 0 {
+				s = f.states[f.only]
+			}
 			s.arrivals.add("engravers")
 			s.now = f.now
 			if ok, _ := s.admit(s.config.teams["engravers"], f.cost); ok {
@@ -74,8 +84,10 @@
 			}
 		}
 		if at%tick == 0 {
-			for _, s := range f.states {
-				s.Reduce(f.now, Ticked{})
+			for i, s := range f.states {
+				if !f.down[i] {
+					s.Reduce(f.now, Ticked{})
+				}
 			}
 		}
 		if at%exchange != 0 {
@@ -83,7 +95,7 @@
 		}
 		for i, s := range f.states {
 			for j, o := range f.states {
-				if i != j && !f.partitioned[i] && !f.partitioned[j] {
+				if i != j && !f.down[i] && !f.down[j] && !f.partitioned[i] && !f.partitioned[j] {
 					o.Reduce(f.now, NewDigestReceived(DigestFrom(s.Digest(f.now).Message())))
 				}
 			}
@@ -111,6 +123,50 @@
 	is.True(f.maxShare() <= 1)
 }
 
+// restart ends a gateway and starts it again after the time, with nothing in the store's record.
+func (f *simulatedFleet) restart(i int, after time.Duration, tokensPerSecond float64) {
+	f.down[i] = true
+	f.run(after, tokensPerSecond)
+	delete(f.down, i)
+	old := f.states[i].settings
+	s := NewState(NewSettings(old.name, old.domain, old.name+"-again", f.now).WithRetries(0.2, 60).WithSlack(f.slack))
+	s.Reduce(f.now, NewConfigRead(testConfig(1, f.team), "store"))
+	registrations := map[string]Registration{}
+	for j, o := range f.states {
+		registrations[o.settings.name] = NewRegistration("127.0.0.1:"+strconv.Itoa(j), "north")
+	}
+	s.Reduce(f.now, NewPeersRead(registrations, true))
+	f.states[i] = s
+}
+
+// A gateway that takes a whole burst and is killed has admitted more than it had reported; its restart must not make the
+// others forget that. The figures of the limit are those of the soak.
+func TestGatewayKilledInABurst(t *testing.T) {
+	for _, after := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second} {
+		for _, burst := range []time.Duration{200 * time.Millisecond, 390 * time.Millisecond} {
+			for _, times := range []float64{5, 20, 40} {
+				t.Run(fmt.Sprintf("%v of %v times the limit, started after %v", burst, times, after), func(t *testing.T) {
+					is := is.New(t)
+					const rate, slackTokens = 6000, 20_000
+					f := newSimulatedFleet(0, rate, 250)
+					f.slack, f.allowed = NewSlack(8*time.Second, 0.1, slackTokens), 9*rate*1.1+slackTokens
+					for range 4 {
+						f.add(true)
+					}
+					f.run(1210*time.Millisecond, 0) // Ends right after an exchange.
+					f.only = 0
+					f.run(burst, times*rate)
+					f.only = -1
+					f.restart(0, after, times*rate)
+					f.run(8*time.Second, times*rate)
+					t.Logf("%.3f of what is allowed", f.maxShare())
+					is.True(f.maxShare() <= 1)
+				})
+			}
+		}
+	}
+}
+
 func TestLimitHoldsDuringPartition(t *testing.T) {
 	for _, team := range []struct{ rate, cost float64 }{{testRate, 4000}, {testRate / 4, 8000}, {testRate / 4, 4000}, {2 * testRate, 10_000}} {
 		for _, lost := range []int{1, 2, 3} {
