Large fleets: no reader of the store before the first digests; a service without upstreams is skipped

A route split between services refused what the hash gave to a service without upstreams, though the other one had some.

Change: a gateway that has heard nobody follows the store 1.5 s after its start; it has read all topics once before. pickService passes over services without upstreams.

Measured: TestReaderAfterAStartOfAllGateways, TestServiceWithoutUpstreamsIsSkipped.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"dandelionrail.org/rail"
@@ -98,18 +99,23 @@
 	}
 }
 
-// pickService selects a backend of the route by weight, using a hash of the call's id. A service that the configuration
-// does not define is returned with its name only, so that no upstream is found for it.
+// pickService selects a backend of the route by weight, using a hash of the call's id. Services without upstreams are
+// skipped if others have some. A service that the configuration does not define is returned with its name only, so that no
+// upstream is found for it.
 func (s *State) pickService(route *Route, c *Call) *Service {
+	backends := slices.DeleteFunc(slices.Clone(route.backends), func(b Backend) bool { return len(s.registry.ofService(b.service)) == 0 })
+	if len(backends) == 0 {
+		backends = route.backends
+	}
 	total := 0
-	for _, b := range route.backends {
+	for _, b := range backends {
 		total += b.weight
 	}
 	if total <= 0 {
 		return &Service{}
 	}
 	n := int(hashWeight(c.id, route.name) % uint64(total)) //nolint:gosec // The total of the weights is small.
-	for _, b := range route.backends {
+	for _, b := range backends {
 		if n -= b.weight; n < 0 {
 			if service := s.config.services[b.service]; service != nil {
 				return service
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -390,3 +390,24 @@
 		is.True(h.now.Sub(begin) <= 8*600*time.Millisecond+time.Second)
 	}
 }
+
+func TestServiceWithoutUpstreamsIsSkipped(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	route := NewRoute("split", "shop.example", "/split/", NewBackend("old", 9), NewBackend("new", 1)).WithTimes(2*time.Second, 200*time.Millisecond)
+	h.post(NewConfigRead(NewConfig(1, []*Route{route}, []*Service{NewService("old", 60), NewService("new", 60)}, []*Team{NewTeam("engravers", 1, []string{"key-1"})}, Limits{}), "store"))
+	h.list(UpstreamSet(NewUpstream("n", "new", "127.0.0.1:1", "north", 1).WithSlots(6, 0)))
+	for range 20 {
+		send, ok := h.advance(time.Millisecond).arrive(h.call("/split/1")).(Send)
+		is.True(ok)
+		is.Equal(send.Upstream().ID(), "n")
+	}
+	h.list(UpstreamSet(NewUpstream("o", "old", "127.0.0.1:2", "north", 1).WithSlots(6, 0)))
+	old := 0
+	for range 200 {
+		if h.advance(time.Millisecond).arrive(h.call("/split/1")).(Send).Upstream().ID() == "o" {
+			old++
+		}
+	}
+	is.True(old > 150 && old < 200) // By weight again.
+}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -310,6 +310,9 @@
 	meshReaders = 2
 	// cellReaders is that number in a large fleet, where many gateways may fail at once and their failure takes longer to detect.
 	cellReaders = 4
+	// readerStartDelay is how long a gateway without digests waits after its start before it follows the store: in a start of
+	// all gateways none of them knows yet which ones will be the readers.
+	readerStartDelay = 1500 * time.Millisecond
 	// readerTimeout is the time without a digest after which another gateway replaces a peer as a reader: two exchanges were lost.
 	readerTimeout = 800 * time.Millisecond
 )
@@ -319,6 +322,9 @@
 	if s.registry.storeUnavailable {
 		return true
 	}
+	if len(s.peers) == 0 && s.uptime() < readerStartDelay {
+		return false // It has read all topics once; peers that follow them will answer soon, if there are any.
+	}
 	preceding := 0
 	for name, p := range s.peers {
 		if s.registered[name].address == "" {
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -122,3 +122,30 @@
 	digest(400 * time.Millisecond)
 	is.True(r.peerReadStore) // The peer has read it for so long that the outage is one of this gateway only.
 }
+
+// When all gateways start at once, each would take itself for a reader of the store until the first digests come.
+func TestReaderAfterAStartOfAllGateways(t *testing.T) {
+	is := is.New(t)
+	c := newSimulatedCells(195, 6)
+	readers := func() int {
+		n := 0
+		for _, s := range c.states {
+			if s.now = c.now; s.ReadsStore() {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(readers(), 0)
+	for _, s := range c.states {
+		s.Reduce(c.now, NewUpstreamsRead([]UpstreamChange{UpstreamSet(testUpstream("a"))}, true, "store"))
+	}
+	c.run(1200 * time.Millisecond)
+	is.True(readers() <= 2*cellReaders)
+	c.run(2 * time.Second)
+	is.True(readers() >= 1 && readers() <= 2*cellReaders)
+	alone := NewState(NewSettings("gateway-0", "north", "first", c.now))
+	is.True(!alone.ReadsStore())
+	alone.Reduce(c.now.Add(readerStartDelay), Ticked{})
+	is.True(alone.ReadsStore())
+}
