--- a/entry/load.go
+++ b/entry/load.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	c.capacity = now
-	return []rail.Effect{rail.NewRaise(team.NewCapacity(now.slots, now.entries))}
+	return []rail.Effect{rail.NewRaise(team.NewCapacity(now.entries))}
 }
 
 // handleRemoteLoads turns facts of other entries into load reports of the upstreams that this entry does not poll.
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -9,18 +9,13 @@
 	"dandelionrail.org/rail"
 )
 
-// Reducer processes one input and returns the effects.
-type Reducer interface {
-	Reduce(in rail.Input) []rail.Effect
-}
-
 // Runner carries out one effect without blocking; the events that it returns are
 // reduced next.
 type Runner func(e rail.Effect) []rail.Event
 
 // Loop runs the reducer, whose state only its goroutine accesses; it implements rail.Mailbox.
 type Loop struct {
-	reducer Reducer
+	reducer rail.Reducer
 	runner  Runner
 	inbox   chan rail.Event
 	random  *rand.Rand
@@ -30,7 +25,7 @@
 }
 
 // NewLoop returns a loop whose queue holds queueLength events; random is the source of each input's random number.
-func NewLoop(reducer Reducer, queueLength int, random *rand.Rand) *Loop {
+func NewLoop(reducer rail.Reducer, queueLength int, random *rand.Rand) *Loop {
 	return &Loop{
 		reducer: reducer,
 		inbox:   make(chan rail.Event, queueLength),
--- a/gateway/fleetquota_test.go
+++ b/gateway/fleetquota_test.go
@@ -22,11 +22,11 @@
 	otherRequests int
 	slack         Slack
 	// only is the gateway that gets all of the team's requests, negative if they are spread evenly; down holds those that ended.
-	only int
-	down map[int]bool
-	team *Team
-	cost          float64
-	allowed       float64
+	only    int
+	down    map[int]bool
+	team    *Team
+	cost    float64
+	allowed float64
 }
 
 // newSimulatedFleet returns n gateways and a team with the rate in tokens a second, a burst of the same size, and requests of the cost.
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -177,6 +177,6 @@
 func upstreamFields(u Upstream, source string) []Field {
 	return []Field{
 		NewField("upstream", u.id), NewField("service", u.service), NewField("domain", u.domain), NewField("address", u.address),
-		NewField("version", u.version), NewField("spot", u.spot), NewField("leaving", u.leaving), NewField("source", source),
+		NewField("version", u.version), NewField("spot", u.spot), NewField("leaving", u.leaving), NewField("leftMs", u.timeLeft.Milliseconds()), NewField("source", source),
 	}
 }
--- a/instance/list.go
+++ b/instance/list.go
@@ -101,6 +101,12 @@
 			r.forgottenAt[id] = at
 		}
 	}
+	for id := range r.leaving {
+		_, forgotten := r.forgottenAt[id]
+		if _, member := r.members[id]; !member && !forgotten {
+			r.forgottenAt[id] = at // A peer reported an instance that was never listed.
+		}
+	}
 	for id, since := range r.forgottenAt {
 		if at.Sub(since) >= markRetention {
 			delete(r.forgottenAt, id)
--- a/kind.go
+++ b/kind.go
@@ -95,7 +95,7 @@
 
 // replies maps each kind to its response.
 var replies = map[Kind]Reply{
-	KindBadRequest:          {http.StatusBadRequest, "invalid_argument", NotRun, 0, "mend the request as the message says"},
+	KindBadRequest:          {http.StatusBadRequest, "invalid_argument", NotRun, 0, "correct the request as the message says"},
 	KindTooLarge:            {http.StatusRequestEntityTooLarge, "resource_exhausted", NotRun, 0, "send a smaller body"},
 	KindUnknownTeam:         {http.StatusUnauthorized, "unauthenticated", NotRun, 0, "send the bearer token of a team in the document in force"},
 	KindUnknownRoute:        {http.StatusNotFound, "not_found", NotRun, 0, "use a route of the document in force"},
@@ -127,9 +127,9 @@
 	KindIssuerUnreachable:   {http.StatusServiceUnavailable, "unknown", RunUnknown, shortRetry, "ask again with the same ticket"},
 	KindDeadlinePassed:      {http.StatusGatewayTimeout, "deadline_exceeded", RunUnknown, 0, "ask for the outcome before sending anything again"},
 	KindCancelled:           {statusCancelled, "canceled", RunUnknown, 0, "the caller went away"},
-	KindBadDocument:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "mend the faults listed"},
+	KindBadDocument:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "correct the faults listed"},
 	KindStaleBase:           {http.StatusConflict, "aborted", NotRun, 0, "read the document in force and publish on top of it"},
-	KindBadSettings:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "mend the settings listed"},
+	KindBadSettings:         {http.StatusUnprocessableEntity, "invalid_argument", NotRun, 0, "correct the settings listed"},
 	KindInternal:            {http.StatusInternalServerError, "internal", RunUnknown, 0, "report the request id"},
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -87,11 +87,11 @@
 	var zero T
 	effect, err := mailbox.Ask(ctx, call, e)
 	if err != nil {
-		return zero, connect.NewError(connect.CodeUnavailable, err)
+		return zero, ConnectError(err)
 	}
 	result, ok := effect.(T)
 	if !ok {
-		return zero, connect.NewError(connect.CodeInternal, rail.NewError(rail.KindInternal, "unexpected %s", effect.EffectName()))
+		return zero, ConnectError(rail.NewError(rail.KindInternal, "unexpected %s", effect.EffectName()))
 	}
 	return result, nil
 }
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -12,11 +12,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
 	"dandelionrail.org/rail"
 	"dandelionrail.org/rail/digest"
 	"dandelionrail.org/rail/document"
+	"dandelionrail.org/rail/gen/railv1"
 	"dandelionrail.org/rail/gen/railv1/railv1connect"
 	"dandelionrail.org/rail/instance"
 	"dandelionrail.org/rail/peer"
@@ -167,3 +169,21 @@
 		})
 	}
 }
+
+// fullMailbox rejects every event.
+type fullMailbox struct{ rail.Mailbox }
+
+func (fullMailbox) Ask(context.Context, rail.RequestID, rail.Event) (rail.CallEffect, error) {
+	return nil, rail.NewError(rail.KindOverloaded, "the queue is full")
+}
+
+// The error of a call tells its kind, as in the other services between entries.
+func TestExchangeErrorHasItsKind(t *testing.T) {
+	is := is.New(t)
+	mux := http.NewServeMux()
+	mux.Handle(railv1connect.NewExchangeServiceHandler(peer.NewExchangeServer(fullMailbox{}), peer.ExchangeOptions()))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	_, err := railv1connect.NewExchangeServiceClient(server.Client(), server.URL).FetchDocument(t.Context(), connect.NewRequest(&railv1.FetchDocumentRequest{}))
+	is.Equal(peer.ErrorKind(err), rail.KindOverloaded)
+}
--- a/rollout/trials_test.go
+++ b/rollout/trials_test.go
@@ -22,7 +22,7 @@
 	// brake. A slow answer is weaker evidence, so more are needed: at three times the latency, 7 of
 	// 10 answers exceed the old version's 90th percentile, which 1 of 10 exceeds anyway.
 	failedPerGroup   = 20
-	slowPerGroup     = 40
+	slowPerGroup     = 30
 	brakePropagation = 3 * time.Second
 	groups           = 2
 )
--- a/service/client.go
+++ b/service/client.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// The headers of this project's own interface to plain services (docs/wire.md). The users' platform has headers of the
+	// same names, which are translated in package platform; nothing here speaks to it.
 	headerRequestID = "X-Request-Id"
 	headerNotRun    = "X-Not-Run"
 	idleTimeout     = time.Minute
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,6 +120,11 @@
 	planned scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
 )
 
+// test returns the name of the test whose seeds the flags choose.
+func (s scenario) test() string {
+	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", planned: "TestPlannedWorkCutsNothing"}[s]
+}
+
 // deployment is the system under test, with its store, upstreams and callers.
 type deployment struct {
 	t           *testing.T
@@ -319,7 +324,12 @@
 		}
 		d.t.Error(f)
 	}
-	d.t.Log("to repeat: go test ./soak -run " + strings.Split(d.t.Name(), "/")[0] + " -soak.seed " + strconv.FormatUint(seed, 10))
+	test := strings.Split(d.t.Name(), "/")[0]
+	if d.scenario.test() != test { // The seeds of the other tests are fixed.
+		d.t.Log("to repeat: go test ./soak -run '" + d.t.Name() + "'")
+	} else {
+		d.t.Log("to repeat: go test ./soak -run " + test + " -soak.seed " + strconv.FormatUint(seed, 10))
+	}
 	for _, l := range d.log {
 		d.t.Log(l)
 	}
--- a/team/event.go
+++ b/team/event.go
@@ -29,7 +29,7 @@
 type Capacity struct{ entries int }
 
 // NewCapacity returns the event; entries is the number of live entries, this one included.
-func NewCapacity(_, entries int) Capacity { return Capacity{entries: entries} }
+func NewCapacity(entries int) Capacity { return Capacity{entries: entries} }
 
 // EventName implements rail.Event.
 func (Capacity) EventName() string { return "teamCapacity" }
--- a/team/reducer_test.go
+++ b/team/reducer_test.go
@@ -25,7 +25,7 @@
 	te.reduce(rail.NewDocumentInForce(rail.NewDocument("trial", 1, teams, nil, nil, "")))
 	te.reduce(rail.NewListRead([]rail.Instance{rail.NewInstance("m1", "breno", rail.RoleEngine, "").WithServing("tin-writer", "v1")}))
 	te.reduce(rail.NewLoadRead(rail.NewLoad("m1", 0, 0, slots, epoch)))
-	te.reduce(NewCapacity(slots, entries))
+	te.reduce(NewCapacity(entries))
 	return te
 }
 
--- a/team/simulation_test.go
+++ b/team/simulation_test.go
@@ -97,7 +97,7 @@
 		sim.facts = append(sim.facts, map[rail.FactKey]rail.Fact{})
 		sim.reduce(i, rail.NewDocumentInForce(rail.NewDocument("trial", 1, teams, []rail.Route{route}, nil, "")))
 		sim.reduce(i, rail.NewListRead(list))
-		sim.reduce(i, NewCapacity(simSlots, simEntries))
+		sim.reduce(i, NewCapacity(simEntries))
 	}
 	sim.exchangeDigests()
 	return sim
--- a/upstream/settings.go
+++ b/upstream/settings.go
@@ -19,7 +19,6 @@
 	assumedHit      float64
 	maxPrefixes     int
 	prefixTTL       time.Duration
-	loadBound       float64
 }
 
 // Defaults returns settings that suit the deployments of both users.
@@ -36,7 +35,6 @@
 		assumedHit:      0.5,
 		maxPrefixes:     1 << 15,
 		prefixTTL:       time.Minute,
-		loadBound:       1.25,
 	}
 }
 
