Rollouts of large fleets: verdicts travel in digests, and a version that is done stays

Cause: only the holder of the duties knew that a version had been reported as done; its predecessor is stopped then. The other gateways went on counting: when a fault at upstreams gave the new version its bad answers they took it back, allowed only the stopped version and refused everything (TestVersionThatIsDoneIsNotRolledBack: every call refused before). A gateway that starts after a verdict had no evidence, and that of gateways that restart was lost, so that a version that was taken back went on trial again at it.

Change: digests carry the verdicts that a gateway knows; done stands against all others.

Measured without a network: TestBadVersionInALargeFleet, 195 gateways, five kinds, gateways that restart in turn: 19 to 206 of 6,100 to 6,800 requests to the bad version (at most a tenth and 50 are allowed), none late, every gateway knows the verdict. Before, those that had restarted did not know it at the end (three of five cases failed on that check, taken right after the last restart).

--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -411,3 +411,33 @@
 	}
 	is.True(old > 150 && old < 200) // By weight again.
 }
+
+// Once a version is reported as done its predecessor is stopped, so that failures after that must not take it back.
+func TestVersionThatIsDoneIsNotRolledBack(t *testing.T) {
+	is := is.New(t)
+	h := newServingHarness(testUpstream("old").WithVersion("v1"), testUpstream("new").WithVersion("v2"))
+	h.state.settings = h.state.settings.WithExposure(0.1)
+	h.post(NewRolloutRead(NewRolloutOrder("desk", "v2", 12*time.Second, RolloutRunning)))
+	serve := func(n int, o Outcome) {
+		for range n {
+			call := h.advance(10 * time.Millisecond).call("/orders/1")
+			if _, ok := h.arrive(call).(Send); ok {
+				h.end(call, o)
+			}
+			h.post(Ticked{})
+		}
+	}
+	serve(1180, Outcome{answered: true, status: 200})
+	is.Equal(h.state.Verdicts()["desk"].State(), RolloutDone)
+	// The holder of the duties, another gateway, has reported it.
+	holder := NewState(NewSettings("gateway-2", "north", "first", h.now))
+	holder.Reduce(h.now, NewRolloutRead(NewRolloutOrder("desk", "v2", 12*time.Second, RolloutDone)))
+	h.post(NewDigestReceived(DigestFrom(holder.Digest(h.now).Message())))
+	h.list(UpstreamRemoved("old"))
+	serve(200, Outcome{kind: rail.KindUpstreamFailed, answered: true, status: 500})
+	send, ok := h.advance(10 * time.Millisecond).arrive(h.call("/orders/1")).(Send)
+	is.True(ok) // Nothing else is there.
+	is.Equal(send.Upstream().ID(), "new")
+	_, running := h.state.Verdicts()["desk"]
+	is.True(!running)
+}
--- /dev/null
+++ b/gateway/cellrollout_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionrail.org/rail"
+)
+
+// rolloutFleet is a large fleet that serves a service with a version on trial.
+type rolloutFleet struct {
+	*simulatedCells
+	random *rand.Rand
+	names  []string
+	// sentNew and sent are the requests to the new version and in total; badAt is the time of its fiftieth bad answer, and
+	// lateNew the requests to it that came later than the bound after that.
+	sentNew, sent, bad, lateNew int
+	badAt                       time.Time
+}
+
+func newRolloutFleet(n int, seed uint64) *rolloutFleet {
+	f := &rolloutFleet{simulatedCells: newSimulatedCells(n, 6), random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range n {
+		name := "gateway-" + strconv.Itoa(i)
+		f.names = append(f.names, name)
+		f.prepare(f.states[name])
+	}
+	return f
+}
+
+func (f *rolloutFleet) prepare(s *State) {
+	s.settings = s.settings.WithExposure(0.1)
+	changes := []UpstreamChange{}
+	for i := range 6 {
+		changes = append(changes, UpstreamSet(NewUpstream("old-"+strconv.Itoa(i), "desk", "127.0.0.1:"+strconv.Itoa(i+1), "domain-"+strconv.Itoa(i), 1).WithSlots(50, 0).WithVersion("v1")),
+			UpstreamSet(NewUpstream("new-"+strconv.Itoa(i), "desk", "127.0.0.1:"+strconv.Itoa(i+11), "domain-"+strconv.Itoa(i), 1).WithSlots(50, 0).WithVersion("v2")))
+	}
+	s.Reduce(f.now, NewUpstreamsRead(changes, true, "store"))
+}
+
+// restart starts a gateway again: it knows the order, but nothing of what was seen.
+func (f *rolloutFleet) restart(name string) {
+	old := f.states[name]
+	s := NewState(NewSettings(name, old.settings.domain, name+strconv.Itoa(f.sent), f.now).WithSlack(testSlack))
+	s.Reduce(f.now, NewConfigRead(testConfig(1, testTeam()), "store"))
+	registrations := map[string]Registration{}
+	for i, n := range f.names {
+		registrations[n] = NewRegistration("127.0.0.1:"+strconv.Itoa(i+1), f.states[n].settings.domain)
+	}
+	s.Reduce(f.now, NewPeersRead(registrations, true))
+	f.states[name] = s
+	f.prepare(s)
+	s.Reduce(f.now, NewRolloutRead(NewRolloutOrder("desk", "v2", 15*time.Second, RolloutRunning)))
+}
+
+// play sends requests a second to random gateways for the duration; isBad decides whether the new version's answer is bad.
+func (f *rolloutFleet) play(d time.Duration, perSecond int, isBad func() bool) {
+	const step, exchange = 10 * time.Millisecond, 400 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for range perSecond / 100 {
+			s := f.states[f.names[f.random.IntN(len(f.names))]]
+			path := "/orders/" + strconv.Itoa(f.sent)
+			c := NewCall("r-"+strconv.Itoa(f.sent), path, "key-1", NewMessage("POST", path, "shop.example", nil, nil), f.now, f.now.Add(2*time.Second))
+			send, ok := callEffect(s.Reduce(f.now, CallArrived{call: c})).(Send)
+			if !ok {
+				continue
+			}
+			f.sent++
+			o := Outcome{answered: true, status: 200}
+			if send.upstream.version == "v2" {
+				f.sentNew++
+				if !f.badAt.IsZero() && f.now.Sub(f.badAt) > 5*time.Second {
+					f.lateNew++
+				}
+				if isBad() {
+					o = Outcome{kind: rail.KindUpstreamFailed, answered: true, status: 500}
+					if f.bad++; f.bad == 50 {
+						f.badAt = f.now
+					}
+				}
+			}
+			s.Reduce(f.now, AttemptEnded{call: c, outcome: o})
+		}
+		at := int(f.now.UnixMilli())
+		for i, name := range f.names {
+			phase := i * 7 % 40 * 10
+			if (at+phase)%100 == 0 {
+				f.states[name].Reduce(f.now, Ticked{})
+			}
+			if (at+phase)%int(exchange.Milliseconds()) == 0 {
+				f.exchange(name, f.states[name])
+			}
+		}
+	}
+}
+
+// A bad version gets its share only from 195 gateways, and none once its fault has shown, also from gateways that start
+// after that. The bounds are those of the users: a tenth of the requests and 50, and five seconds after the fiftieth bad answer.
+func TestBadVersionInALargeFleet(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		share    float64
+		after    time.Duration
+		restarts bool
+	}{
+		{"fails at once", 0.5, 0, false},
+		{"fails at once, gateways restart in turn", 0.5, 0, true},
+		{"fails later", 0.5, 6 * time.Second, false},
+		{"fails later, gateways restart in turn", 0.4, 6 * time.Second, true},
+		{"fails seldom", 0.3, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRolloutFleet(195, 1)
+			f.play(2*time.Second, 400, func() bool { return false })
+			for _, s := range f.states {
+				s.Reduce(f.now, NewRolloutRead(NewRolloutOrder("desk", "v2", 15*time.Second, RolloutRunning)))
+			}
+			f.sent, f.sentNew = 0, 0
+			ordered := f.now
+			for i := range 30 {
+				f.play(500*time.Millisecond, 400, func() bool { return f.now.Sub(ordered) >= c.after && f.random.Float64() < c.share })
+				if c.restarts {
+					for k := range 6 {
+						f.restart(f.names[(i*6+k)%len(f.names)])
+					}
+				}
+			}
+			f.play(2*time.Second, 400, func() bool { return f.random.Float64() < c.share }) // Until the last ones have heard of it.
+			t.Logf("%d of %d requests to the bad version, %d bad answers, %d too late", f.sentNew, f.sent, f.bad, f.lateNew)
+			is.True(float64(f.sentNew) <= 0.1*float64(f.sent)+50)
+			is.Equal(f.lateNew, 0)
+			for _, s := range f.states {
+				is.True(s.rollouts["desk"].bad) // Every gateway knows it.
+			}
+		})
+	}
+}
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -72,7 +72,9 @@
 	usage                    usage
 	leaving                  []string
 	versions                 map[versionKey]tally
-	demand                   int64
+	// verdicts are the rollouts that have ended, as far as the gateway knows.
+	verdicts map[versionKey]RolloutState
+	demand   int64
 	// domains are the failure domains of the gateways that the digest covers.
 	domains []string
 	// members are this gateway and those that it leads and received digests from recently; covers is the number of gateways that the digest covers.
@@ -95,6 +97,9 @@
 		sum.add(t)
 		d.versions[k] = sum
 	}
+	for k, state := range p.digest.verdicts {
+		d.addVerdict(k, state)
+	}
 	d.demand += p.digest.demand
 	if age < maxLoadAge {
 		for id, l := range p.digest.loads {
@@ -118,6 +123,16 @@
 	}
 }
 
+// addVerdict adds a verdict; once a version is done its predecessor is stopped, so that this stands against all others.
+func (d *Digest) addVerdict(k versionKey, state RolloutState) {
+	if d.verdicts == nil {
+		d.verdicts = map[versionKey]RolloutState{}
+	}
+	if d.verdicts[k] != RolloutDone {
+		d.verdicts[k] = state
+	}
+}
+
 // Gateway returns the name of the gateway that sent the digest.
 func (d Digest) Gateway() string { return d.gateway }
 
@@ -149,6 +164,9 @@
 	for k, t := range d.versions {
 		m.Versions = append(m.Versions, &railv1.VersionTally{Service: k.service, Version: k.version, Good: t.good, Bad: t.bad})
 	}
+	for k, state := range d.verdicts {
+		m.Verdicts = append(m.Verdicts, &railv1.RolloutVerdict{Service: k.service, Version: k.version, Done: state == RolloutDone})
+	}
 	return m
 }
 
@@ -174,6 +192,13 @@
 	for _, w := range m.GetUsage() {
 		d.usage[w.GetNumber()] = w.GetCounts()
 	}
+	for _, v := range m.GetVerdicts() {
+		state := RolloutRolledBack
+		if v.GetDone() {
+			state = RolloutDone
+		}
+		d.addVerdict(versionKey{v.GetService(), v.GetVersion()}, state)
+	}
 	for _, t := range m.GetVersions() {
 		d.versions[versionKey{t.GetService(), t.GetVersion()}] = tally{good: t.GetGood(), bad: t.GetBad()}
 	}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -67,7 +67,7 @@
 	}
 	s.updatePeerAdmitted()
 	s.notePeerRead(d)
-	var effects []Effect
+	effects := s.applyVerdicts(d)
 	for _, id := range d.leaving {
 		effects = append(effects, s.registry.markLeaving(id, d.gateway)...)
 	}
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"dandelionrail.org/rail"
@@ -58,15 +59,68 @@
 func (s *State) rolloutRead(o RolloutOrder) []Effect {
 	r, ok := s.rollouts[o.service]
 	if ok && r.target == o.target {
-		if o.state != RolloutRunning && r.state != o.state {
-			r.state, r.bad, r.moved = o.state, o.state == RolloutRolledBack, o.state == RolloutDone
-			return []Effect{report(rail.EventRolloutVerdict, NewField("service", o.service), NewField("version", o.target), NewField("state", string(o.state)), NewField("source", "store"))}
-		}
-		return nil
+		return s.endRollout(r, o.state, "store")
 	}
-	r = &rollout{RolloutOrder: o, startedAt: s.now, bad: o.state == RolloutRolledBack, moved: o.state == RolloutDone}
+	r = &rollout{RolloutOrder: o, startedAt: s.now}
+	r.end(o.state)
 	s.rollouts[o.service] = r
-	return []Effect{report(rail.EventRolloutOrdered, NewField("service", o.service), NewField("version", o.target), NewField("periodMs", o.period.Milliseconds()), NewField("state", string(o.state)))}
+	effects := []Effect{report(rail.EventRolloutOrdered, NewField("service", o.service), NewField("version", o.target), NewField("periodMs", o.period.Milliseconds()), NewField("state", string(o.state)))}
+	if state, known := s.verdicts[versionKey{o.service, o.target}]; known {
+		effects = append(effects, s.endRollout(r, state, "peer")...)
+	}
+	return effects
+}
+
+// end applies a verdict. A version that was taken back by this or another gateway only is not ended: the holder of the
+// duties may report it as done meanwhile.
+func (r *rollout) end(state RolloutState) {
+	r.state, r.bad, r.moved = state, state == RolloutRolledBack, state == RolloutDone
+}
+
+// endRollout applies the verdict to a running rollout.
+func (s *State) endRollout(r *rollout, state RolloutState, source string) []Effect {
+	if r.state != RolloutRunning || state == RolloutRunning {
+		return nil
+	}
+	switch {
+	case source == "store" || state == RolloutDone:
+		r.end(state)
+	case r.bad:
+		return nil
+	default:
+		r.bad, r.moved = true, false
+	}
+	return []Effect{report(rail.EventRolloutVerdict, NewField("service", r.service), NewField("version", r.target), NewField("state", string(state)), NewField("source", source))}
+}
+
+// knownVerdicts returns the verdicts that this gateway knows of its own rollouts and from peers.
+func (s *State) knownVerdicts() map[versionKey]RolloutState {
+	known := maps.Clone(s.verdicts)
+	for _, r := range s.rollouts {
+		k := versionKey{r.service, r.target}
+		switch {
+		case r.state == RolloutDone:
+			known[k] = RolloutDone
+		case r.bad && known[k] != RolloutDone:
+			known[k] = RolloutRolledBack
+		}
+	}
+	return known
+}
+
+// applyVerdicts applies the verdicts of a peer, which a gateway that started later has no evidence for.
+func (s *State) applyVerdicts(d Digest) []Effect {
+	var effects []Effect
+	for k, state := range d.verdicts {
+		if s.verdicts[k] == state || s.verdicts[k] == RolloutDone {
+			continue
+		}
+		s.verdicts[k] = state
+		if r := s.rollouts[k.service]; r != nil && r.target == k.version {
+			effects = append(effects, s.endRollout(r, state, d.gateway)...)
+		}
+	}
+	return effects
 }
 
 // tallies returns the tallies of the target and of all other versions, over all gateways.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -25,11 +25,13 @@
 	// callerShare is this gateway's share of the callers of all gateways with recent digests.
 	callerShare float64
 	// outages are the silent gateways, those that became silent first come first.
-	outages       []*outage
-	arrivals      *arrivals
-	usage         usage
-	versions      map[versionKey]tally
-	rollouts      map[string]*rollout
+	outages  []*outage
+	arrivals *arrivals
+	usage    usage
+	versions map[versionKey]tally
+	rollouts map[string]*rollout
+	// verdicts are those that peers reported.
+	verdicts      map[versionKey]RolloutState
 	reachability  map[string]*reachability
 	demand        int64
 	fence         int64
@@ -45,7 +47,7 @@
 	return &State{
 		settings: s, now: s.startedAt, registry: newRegistry(), clock: newClock(s.startedAt), quotas: map[string]*quota{},
 		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, peers: map[string]*peer{}, registered: map[string]Registration{},
-		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{}, reachability: map[string]*reachability{}, arrivals: newArrivals(s.startedAt),
+		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{}, verdicts: map[versionKey]RolloutState{}, reachability: map[string]*reachability{}, arrivals: newArrivals(s.startedAt),
 	}
 }
 
@@ -256,6 +258,9 @@
 			}
 		}
 	}
+	for k, state := range s.knownVerdicts() {
+		d.addVerdict(k, state)
+	}
 	d.usage.add(s.usage)
 	for k, t := range s.versions {
 		d.versions[k] = t
