Duties: a call whose connection broke has no reply either

A reset of the connection to the cloud left the lease to be released at once, although the call may still be carried out (TestStopDuringACall, the third case; the first form looked at the call's time only).

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -17,6 +17,9 @@
 // ErrNoCapacity is returned when the cloud has no upstreams of the class in the domain now.
 var ErrNoCapacity = errors.New("duty: no upstreams available in the domain")
 
+// ErrNoReply is returned when the cloud did not reply to a call, which it may have carried out or still carry out.
+var ErrNoReply = errors.New("duty: no reply from the cloud")
+
 // Topic is the topic of the store that holds the lease and the fixed usage counts.
 type Topic interface {
 	// Read returns the records from the offset on.
@@ -320,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(callTimeout, remaining))
 	defer cancel()
 	err := call(ctx)
-	r.unanswered = err != nil && ctx.Err() != nil
+	r.unanswered = errors.Is(err, ErrNoReply) || (err != nil && ctx.Err() != nil)
 	return err
 }
 
--- a/duty/handover_test.go
+++ b/duty/handover_test.go
@@ -463,8 +463,10 @@
 type stoppedCloud struct {
 	noCloud
 	delay time.Duration
-	began chan struct{}
-	done  func()
+	// broken reports that the connection breaks before the reply.
+	broken bool
+	began  chan struct{}
+	done   func()
 }
 
 func (c *stoppedCloud) OrderUpstreams(ctx context.Context, _ int64, _ string, _ DesiredCapacity) error {
@@ -477,6 +479,10 @@
 		c.done()
 		close(finished)
 	})
+	if c.broken {
+		time.Sleep(100 * time.Millisecond)
+		return errors.Wrap(ErrNoReply, "connection reset")
+	}
 	select {
 	case <-finished:
 		return nil
@@ -490,10 +496,12 @@
 	for _, c := range []struct {
 		name     string
 		delay    time.Duration
+		broken   bool
 		released bool
 	}{
-		{"the reply comes", 400 * time.Millisecond, true},
-		{"no reply comes in time", 2 * time.Second, false},
+		{"the reply comes", 400 * time.Millisecond, false, true},
+		{"no reply comes in time", 2 * time.Second, false, false},
+		{"the connection breaks", 2 * time.Second, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -505,7 +513,7 @@
 				h.running.Wait()
 				topic := &unreliableTopic{}
 				var executed, released time.Duration
-				cloud := &stoppedCloud{delay: c.delay, began: make(chan struct{}, 1), done: func() { executed = h.now() }}
+				cloud := &stoppedCloud{delay: c.delay, broken: c.broken, began: make(chan struct{}, 1), done: func() { executed = h.now() }}
 				lease := NewLease("gateway-0", "x", 3*time.Second, 0)
 				r := New(lease, n.gateway, topic, cloud, discardLog{}, h.now, false, true)
 				ctx, cancel := context.WithCancel(context.Background())
