--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -71,13 +71,13 @@
 	return effects
 }
 
-// end applies a verdict. A version that was taken back by this or another gateway only is not ended: the holder of the
-// duties may report it as done meanwhile.
+// end applies the verdict that the holder of the duties reported.
 func (r *rollout) end(state RolloutState) {
 	r.state, r.bad, r.moved = state, state == RolloutRolledBack, state == RolloutDone
 }
 
-// endRollout applies the verdict to a running rollout.
+// endRollout applies the verdict to a running rollout. A verdict that gateways reached by themselves, from their evidence, stops
+// requests to the version but does not end the rollout: the holder of the duties may report it as done meanwhile.
 func (s *State) endRollout(r *rollout, state RolloutState, source string) []Effect {
 	if r.state != RolloutRunning || state == RolloutRunning {
 		return nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,12 +43,11 @@
 var fixedFailures = []failure{
 	{planned, 5014, "QUOTA: gateways that start at the same time did not discover each other for four seconds"},
 	{mixed, 5004, "QUOTA: after two kills of all gateways, a record 5.4 s old counted as 4 s of unknown usage"},
+	{mixed, 5002, "QUOTA: what a killed gateway was known to have admitted was forgotten"},
 }
 
 // knownFailures are the failures that are listed in KNOWN-RED.txt.
-var knownFailures = []failure{
-	{mixed, 5002, "QUOTA, in one run of three: a gateway is killed within a second of the first start while it admits a complete burst"},
-}
+var knownFailures []failure
 
 // The limits of the deployment.
 const (
