--- a/gateway/cellquota_test.go
+++ b/gateway/cellquota_test.go
@@ -115,6 +115,7 @@
 	} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				l := newCellLoad(195, 6, 290, seed, rate, cost, slack)
 				l.play(10*time.Second, rate*0.5)
--- a/gateway/cellrollout_test.go
+++ b/gateway/cellrollout_test.go
@@ -114,6 +114,7 @@
 		{"fails seldom", 0.3, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := newRolloutFleet(195, 1)
 			f.play(2*time.Second, 400, func() bool { return false })
