Answers and bodies are collected by one buffer

Sizes, bounds and statuses stay, but that a body of unknown length reserves no more than the configuration allows, where it doubled beyond that for its last byte.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "sync"
+import (
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
 
 // Memory bounds the bytes of messages that all calls in flight hold together,
 // beyond a small buffer for each; it is safe for concurrent use.
@@ -12,8 +17,7 @@
 // NewMemory returns a memory of the size in bytes.
 func NewMemory(size int64) *Memory { return &Memory{left: size} }
 
-// Take reserves the bytes, and returns false if that many are not left.
-func (m *Memory) Take(n int64) bool {
+func (m *Memory) take(n int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if n > m.left {
@@ -23,46 +27,92 @@
 	return true
 }
 
-// Give returns reserved bytes.
-func (m *Memory) Give(n int64) {
+func (m *Memory) give(n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.left += n
 }
 
-// messageBuffer collects a message in memory that it reserves as it grows.
-type messageBuffer struct {
-	memory   *Memory
-	reserved *int64
-	data     []byte
+// Reserve returns a reservation that holds nothing yet; it must be released.
+func (m *Memory) Reserve() *Reservation { return &Reservation{memory: m} }
+
+// Reservation is the part of the memory that one call holds; it is not safe for concurrent use.
+type Reservation struct {
+	memory *Memory
+	held   int64
+}
+
+// add reserves more bytes, and returns false if that many are not left.
+func (r *Reservation) add(n int64) bool {
+	if !r.memory.take(n) {
+		return false
+	}
+	r.held += n
+	return true
 }
 
-const (
-	// minBufferBytes is the size of a message that needs no reservation.
-	minBufferBytes = 4 << 10
-	// maxBufferBytes is the largest message that is buffered.
-	maxBufferBytes = 256 << 10
+// atLeast reserves what is missing to the number of bytes, and returns false if that is not left.
+func (r *Reservation) atLeast(n int64) bool { return n <= r.held || r.add(n-r.held) }
+
+// Release returns all bytes to the memory.
+func (r *Reservation) Release() {
+	r.memory.give(r.held)
+	r.held = 0
+}
+
+// minBufferBytes is the size up to which a buffer needs no reservation.
+const minBufferBytes = 4 << 10
+
+var (
+	// ErrFull reports that a message is longer than its buffer may become.
+	ErrFull = errors.New("Buffer.ReadAll: message is too long")
+	// ErrNoMemory reports that no memory is left for a message.
+	ErrNoMemory = errors.New("Buffer.ReadAll: no memory is left")
 )
 
-// newMessageBuffer returns an empty buffer; it adds to reserved what it takes from the memory.
-func newMessageBuffer(memory *Memory, reserved *int64) *messageBuffer {
-	return &messageBuffer{memory: memory, reserved: reserved}
+// Buffer collects a message in memory that it reserves as it grows: a message that arrives slowly holds no more than twice
+// what has arrived.
+type Buffer struct {
+	reservation *Reservation
+	limit       int
+	data        []byte
 }
 
-// grow makes room for more bytes, and returns false if the message is too large or no memory is left.
-func (b *messageBuffer) grow() bool {
-	if len(b.data) < cap(b.data) {
-		return true
+// NewBuffer returns an empty buffer for a message of less than the limit in bytes.
+func NewBuffer(r *Reservation, limit int64) *Buffer {
+	return &Buffer{reservation: r, limit: int(limit)}
+}
+
+// Bytes returns what was read.
+func (b *Buffer) Bytes() []byte { return b.data }
+
+// ReadAll reads the message to its end. After ErrFull or ErrNoMemory the rest of it can still be read.
+func (b *Buffer) ReadAll(r io.Reader) error {
+	for {
+		if len(b.data) == cap(b.data) {
+			if err := b.grow(); err != nil {
+				return err
+			}
+		}
+		n, err := r.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.WithStack(err)
+		}
 	}
-	if cap(b.data) == 0 {
-		b.data = make([]byte, 0, minBufferBytes)
-		return true
+}
+
+func (b *Buffer) grow() error {
+	size := min(max(minBufferBytes, 2*cap(b.data)), b.limit)
+	if size == cap(b.data) {
+		return ErrFull
 	}
-	added := int64(cap(b.data))
-	if 2*added > maxBufferBytes || !b.memory.Take(added) {
-		return false
+	if size > minBufferBytes && !b.reservation.add(int64(size-cap(b.data))) {
+		return ErrNoMemory
 	}
-	*b.reserved += added
-	b.data = append(make([]byte, 0, 2*added), b.data...)
-	return true
+	b.data = append(make([]byte, 0, size), b.data...)
+	return nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,6 +18,8 @@
 const (
 	// answerGrace is the time after a call's deadline in which an upstream's own answer is still accepted.
 	answerGrace = 60 * time.Millisecond
+	// maxBufferedBytes is the size from which on an answer is forwarded as it arrives.
+	maxBufferedBytes = 256 << 10
 	// progressInterval is the minimum time between two StreamProgressed events of a stream.
 	progressInterval = 100 * time.Millisecond
 	// readBufferBytes is the size of the buffer for reading a stream.
@@ -39,8 +41,8 @@
 	failedAnswer *bufferedAnswer
 	disconnected bool
 	kind         rail.Kind
-	// reserved is the number of bytes that the call's answers hold of the gateway's memory.
-	reserved int64
+	// reservation is what the call's answers hold of the gateway's memory.
+	reservation *Reservation
 }
 
 type bufferedAnswer struct {
@@ -51,8 +53,8 @@
 
 // Serve answers the call; ctx ends when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, c *Call, w http.ResponseWriter) error {
-	r := &relay{gateway: g, call: c, writer: w}
-	defer func() { g.memory.Give(r.reserved) }()
+	r := &relay{gateway: g, call: c, writer: w, reservation: g.memory.Reserve()}
+	defer r.reservation.Release()
 	if c.resume != "" {
 		r.events.resumeAfter(c.resume)
 	}
@@ -130,24 +132,19 @@
 // forwardAnswer forwards an answer that is no stream. One that fits into the buffer is read completely first, so that the
 // call can go to another upstream if it breaks off; a larger one is forwarded as it arrives.
 func (r *relay) forwardAnswer(ctx context.Context, a *Answer, stopTimer func() bool) Outcome {
-	body := newMessageBuffer(r.gateway.memory, &r.reserved)
-	for body.grow() {
-		n, err := a.body.Read(body.data[len(body.data):cap(body.data)])
-		body.data = body.data[:len(body.data)+n]
-		if errors.Is(err, io.EOF) {
-			return r.answerRead(ctx, a, body.data)
-		}
-		if err != nil {
-			return r.attemptFailure(ctx, rail.WrapError(err, rail.KindUpstreamFailed, "read upstream answer"))
-		}
-	}
-	if a.status >= minServerErrorStatus || r.headerSent {
-		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamFailed, "failure of more than %d bytes", len(body.data)))
-	}
-	if !stopTimer() { // Once the caller has a part of the answer, no other attempt can replace this one.
+	body := NewBuffer(r.reservation, maxBufferedBytes)
+	err := body.ReadAll(a.body)
+	switch {
+	case err == nil:
+		return r.answerRead(ctx, a, body.Bytes())
+	case !errors.Is(err, ErrFull) && !errors.Is(err, ErrNoMemory):
+		return r.attemptFailure(ctx, rail.WrapError(err, rail.KindUpstreamFailed, "read upstream answer"))
+	case a.status >= minServerErrorStatus || r.headerSent:
+		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamFailed, "failure of more than %d bytes", len(body.Bytes())))
+	case !stopTimer(): // Once the caller has a part of the answer, no other attempt can replace this one.
 		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamSilent, "answer is slower than the failover timeout"))
 	}
-	return r.forwardLarge(ctx, a, body.data)
+	return r.forwardLarge(ctx, a, body.Bytes())
 }
 
 // answerRead delivers a complete answer, or keeps it if it is a failure.
@@ -223,8 +220,8 @@
 			}
 			held = held[:0]
 		}
-		if splitErr == nil && !r.reserve(len(r.events.buffer)-minBufferBytes) {
-			splitErr = errors.New("forwardStream: no memory is left for a long event")
+		if splitErr == nil && !r.reservation.atLeast(int64(len(r.events.buffer)-minBufferBytes)) {
+			splitErr = ErrNoMemory
 		}
 		if splitErr != nil {
 			return r.attemptFailure(ctx, rail.WrapError(splitErr, rail.KindUpstreamFailed, "split upstream stream into events"))
@@ -245,19 +242,6 @@
 	}
 }
 
-// reserve makes the call hold at least the number of bytes of the gateway's memory, and reports whether it could.
-func (r *relay) reserve(n int) bool {
-	missing := int64(n) - r.reserved
-	if missing <= 0 {
-		return true
-	}
-	if !r.gateway.memory.Take(missing) {
-		return false
-	}
-	r.reserved += missing
-	return true
-}
-
 // write sends bytes to the caller, flushes them and reports whether this succeeded.
 func (r *relay) write(control *http.ResponseController, data []byte) bool {
 	if _, err := r.writer.Write(data); err != nil {
