Gateway: one rule for verdicts, pacing is part of the bound, the fleet's size has one constant

- The rule that a version that is done stands against other verdicts stood in addVerdict, knownVerdicts and applyVerdicts; verdicts.add has it now.
- pacing was set on each access of a quota and copied when the window was reset; it comes with the bound.
Its comment has the reasons again that the old constants had.
- startupPeers of the daemon repeated maxMeshGateways; it asks State.LargeFleet.
Behaviour stays.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -39,10 +39,8 @@
 	watchFallbackInterval = 8 * time.Second
 	// registerInterval is the time between attempts to register this gateway or to open a listener.
 	registerInterval = 500 * time.Millisecond
-	// startupReads is the number of times that a gateway reads the list of gateways again after it has registered, and
-	// startupPeers the number of peers from which on it learns of further ones from their digests.
+	// startupReads is the number of times that a gateway reads the list of gateways again after it has registered.
 	startupReads = 3
-	startupPeers = 11
 	// exitMargin is how long before the end of the grace period the process exits by itself.
 	exitMargin = 150 * time.Millisecond
 	// takeoverDelayStep and takeoverDelaySteps spread the attempts of the gateways to take over an expired lease.
@@ -185,9 +183,9 @@
 func (d *daemon) discoverPeers(ctx context.Context) {
 	for range startupReads {
 		timer.Sleep(ctx, registerInterval)
-		peers := 0
-		d.gateway.View(func(s *gateway.State) { peers = s.Peers() })
-		if peers < startupPeers {
+		large := false
+		d.gateway.View(func(s *gateway.State) { large = s.LargeFleet() })
+		if !large { // In a large one it learns of further gateways from the digests of those that it knows.
 			d.gatewayWatcher.ReadNow()
 		}
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -59,13 +59,13 @@
 			return s.refuse(c, nil, rail.KindUnknownTeam, 0)
 		}
 	}
+	if team != nil {
+		s.arrivals.add(team.name)
+	}
 	p := &pendingCall{route: route, team: team, deadline: c.deadline, tried: map[*target]bool{}, resume: c.resume}
 	if limit := c.arrived.Add(route.timeout); route.timeout > 0 && limit.Before(p.deadline) {
 		p.deadline = limit
 	}
-	if team != nil {
-		s.arrivals.add(team.name)
-	}
 	if team != nil && team.rate > 0 {
 		p.cost = team.cost(c)
 		if ok, wait := s.admit(team, p.cost); !ok {
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -73,7 +73,7 @@
 	leaving                  []string
 	versions                 map[versionKey]tally
 	// verdicts are the rollouts that have ended, as far as the gateway knows.
-	verdicts map[versionKey]RolloutState
+	verdicts verdicts
 	demand   int64
 	// domains are the failure domains of the gateways that the digest covers.
 	domains []string
@@ -98,7 +98,7 @@
 		d.versions[k] = sum
 	}
 	for k, state := range p.digest.verdicts {
-		d.addVerdict(k, state)
+		d.verdicts.add(k, state)
 	}
 	d.demand += p.digest.demand
 	if age < maxLoadAge {
@@ -123,16 +123,6 @@
 	}
 }
 
-// addVerdict adds a verdict; once a version is done its predecessor is stopped, so that this stands against all others.
-func (d *Digest) addVerdict(k versionKey, state RolloutState) {
-	if d.verdicts == nil {
-		d.verdicts = map[versionKey]RolloutState{}
-	}
-	if d.verdicts[k] != RolloutDone {
-		d.verdicts[k] = state
-	}
-}
-
 // Gateway returns the name of the gateway that sent the digest.
 func (d Digest) Gateway() string { return d.gateway }
 
@@ -175,7 +165,7 @@
 	d := Digest{
 		gateway: m.GetGateway(), incarnation: m.GetIncarnation(), sequence: m.GetSequence(), wall: time.UnixMilli(m.GetWallMs()), storeUnavailable: m.GetStoreAway(),
 		loads: make(map[string]Load, len(m.GetLoads())), admitted: make(map[string]buckets, len(m.GetAdmitted())), usage: usage{}, leaving: m.GetLeaving(),
-		versions: map[versionKey]tally{}, demand: m.GetDemandTokens(), recentRate: m.GetLatestArrivals(), baselineRate: m.GetUsualArrivals(), domains: m.GetDomains(), members: m.GetMembers(), covers: int(m.GetCovers()), full: m.GetWhole(), notReady: m.GetIdle(), fence: m.GetFence(),
+		versions: map[versionKey]tally{}, verdicts: verdicts{}, demand: m.GetDemandTokens(), recentRate: m.GetLatestArrivals(), baselineRate: m.GetUsualArrivals(), domains: m.GetDomains(), members: m.GetMembers(), covers: int(m.GetCovers()), full: m.GetWhole(), notReady: m.GetIdle(), fence: m.GetFence(),
 	}
 	for _, a := range m.GetAdmitted() {
 		var b buckets
@@ -197,7 +187,7 @@
 		if v.GetDone() {
 			state = RolloutDone
 		}
-		d.addVerdict(versionKey{v.GetService(), v.GetVersion()}, state)
+		d.verdicts.add(versionKey{v.GetService(), v.GetVersion()}, state)
 	}
 	for _, t := range m.GetVersions() {
 		d.versions[versionKey{t.GetService(), t.GetVersion()}] = tally{good: t.GetGood(), bad: t.GetBad()}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -280,8 +280,8 @@
 // Address returns the address of a peer, empty if it is not registered.
 func (s *State) Address(peer string) string { return s.registered[peer].address }
 
-// Peers returns the number of registered peers.
-func (s *State) Peers() int { return len(s.registered) }
+// LargeFleet reports whether so many gateways are registered that they exchange digests in cells.
+func (s *State) LargeFleet() bool { return s.cells != nil }
 
 // HolderFence returns the fencing number of the peer that recently reported holding the duty lease, zero if none did.
 func (s *State) HolderFence() int64 {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -20,9 +20,7 @@
 	// others is what the other gateways admitted; othersAt is the uptime at which it was known.
 	others   buckets
 	othersAt time.Duration
-	// pacing bounds what this gateway admits before the others know of it.
-	pacing pacing
-	total  float64
+	total    float64
 	bound
 	// reserved is the part of the limit that silent gateways may use.
 	reserved float64
@@ -61,13 +59,14 @@
 	limit  float64
 	// headroom is what may be admitted beyond the limit before the gateways have exchanged digests.
 	headroom float64
+	pacing
 }
 
-// newBound returns the bound for a rate in tokens a second and a burst.
-func newBound(rate, burst float64, s Slack) bound {
+// newBound returns the bound for a rate in tokens a second and a burst in a fleet of the pacing.
+func newBound(rate, burst float64, s Slack, p pacing) bound {
 	inWindow := s.window.Seconds()*rate + burst
 	limit := inWindow*(1+quotaOverShare*s.over) + quotaSlackShare*s.tokens
-	return bound{window: s.window, limit: limit, headroom: inWindow*(1+s.over) + s.tokens - limit}
+	return bound{window: s.window, limit: limit, headroom: inWindow*(1+s.over) + s.tokens - limit, pacing: p}
 }
 
 // slot returns the number of the slot at the uptime.
@@ -89,11 +88,12 @@
 }
 
 var (
-	// meshPacing is for fleets in which each gateway exchanges digests with all others: callers are not distributed evenly,
-	// and may all use one gateway. If both halves of a partition use burstShare, and then each its half of the limit, they
-	// stay within the slack.
+	// meshPacing is for fleets in which each gateway exchanges digests with all others. Peers know of an admission after one
+	// exchange and of a partition after reserveTimeout, both rounded up. Callers are not distributed evenly, and those that
+	// all use one gateway are served at their usual rate. If both halves of a partition use burstShare, and then each its
+	// half of the limit, they stay within the slack.
 	meshPacing = pacing{unsharedSlots: 2, imbalance: 1.3, undetectedSlots: 3, burstShare: 0.15, burstImbalance: 2}
-	// cellPacing is for large fleets: news passes two leaders, each at its next exchange.
+	// cellPacing is for large fleets, in which news passes two leaders, each at its next exchange: both take up to two seconds.
 	cellPacing = pacing{unsharedSlots: 8, imbalance: 1.7, undetectedSlots: 8, burstShare: 1.5, burstImbalance: 1}
 )
 
@@ -111,7 +111,7 @@
 // admitted before the first start of the whole system; before any other start,
 // the full limit is assumed to be used until the store's record is restored.
 func newQuota(uptime time.Duration, b bound, firstStart bool) *quota {
-	q := &quota{currentSlot: b.slot(uptime), bound: b, pacing: meshPacing}
+	q := &quota{currentSlot: b.slot(uptime), bound: b}
 	if !firstStart {
 		for i := q.currentSlot - quotaSlots + 1; i <= 0; i++ {
 			q.estimated[(i+quotaSlots)%quotaSlots] = b.limit / quotaSlots
@@ -129,7 +129,7 @@
 	}
 	q.bound = b
 	if now-q.currentSlot >= quotaSlots {
-		*q = quota{currentSlot: now, bound: b, others: q.others, othersAt: q.othersAt, pacing: q.pacing, reserved: q.reserved}
+		*q = quota{currentSlot: now, bound: b, others: q.others, othersAt: q.othersAt, reserved: q.reserved}
 	}
 	for q.currentSlot < now {
 		q.currentSlot++
@@ -189,13 +189,12 @@
 // The share is this gateway's share of the callers of all gateways with recent digests.
 func (q *quota) take(cost, share float64) (bool, time.Duration) {
 	remaining := q.limit - q.total - q.reserved
-	p := q.pacing
-	unshared, undetected := q.recent(p.unsharedSlots), q.recent(p.undetectedSlots)
-	rate := q.limit * float64(p.undetectedSlots) / quotaSlots
+	unshared, undetected := q.recent(q.unsharedSlots), q.recent(q.undetectedSlots)
+	rate := q.limit * float64(q.undetectedSlots) / quotaSlots
 	headroomFactor := math.Max(1, q.headroom/q.limit/referenceHeadroom)
 	if cost <= remaining &&
-		unshared <= headroomFactor*p.imbalance*(remaining+unshared)*share &&
-		undetected <= headroomFactor*(p.burstShare*(remaining+undetected)+p.burstImbalance*rate)*share {
+		unshared <= headroomFactor*q.imbalance*(remaining+unshared)*share &&
+		undetected <= headroomFactor*(q.burstShare*(remaining+undetected)+q.burstImbalance*rate)*share {
 		q.own[q.currentSlot%quotaSlots] += cost
 		q.total += cost
 		return true, 0
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -59,7 +59,7 @@
 
 var (
 	testSlack = NewSlack(quotaWindow, 0.1, testSlackTokens)
-	testBound = newBound(testRate, testRate, testSlack)
+	testBound = newBound(testRate, testRate, testSlack, meshPacing)
 )
 
 func newGateways() []*quota {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -93,16 +93,29 @@
 	return []Effect{report(rail.EventRolloutVerdict, NewField("service", r.service), NewField("version", r.target), NewField("state", string(state)), NewField("source", source))}
 }
 
+// verdicts are the ends of rollouts by version.
+type verdicts map[versionKey]RolloutState
+
+// add adds a verdict and reports whether it is news. Once a version is done its predecessor is stopped, so that this stands
+// against all other verdicts.
+func (v verdicts) add(k versionKey, state RolloutState) bool {
+	if v[k] == state || v[k] == RolloutDone {
+		return false
+	}
+	v[k] = state
+	return true
+}
+
 // knownVerdicts returns the verdicts that this gateway knows of its own rollouts and from peers.
-func (s *State) knownVerdicts() map[versionKey]RolloutState {
+func (s *State) knownVerdicts() verdicts {
 	known := maps.Clone(s.verdicts)
 	for _, r := range s.rollouts {
 		k := versionKey{r.service, r.target}
 		switch {
 		case r.state == RolloutDone:
-			known[k] = RolloutDone
-		case r.bad && known[k] != RolloutDone:
-			known[k] = RolloutRolledBack
+			known.add(k, RolloutDone)
+		case r.bad:
+			known.add(k, RolloutRolledBack)
 		}
 	}
 	return known
@@ -112,10 +125,9 @@
 func (s *State) applyVerdicts(d Digest) []Effect {
 	var effects []Effect
 	for k, state := range d.verdicts {
-		if s.verdicts[k] == state || s.verdicts[k] == RolloutDone {
+		if !s.verdicts.add(k, state) {
 			continue
 		}
-		s.verdicts[k] = state
 		if r := s.rollouts[k.service]; r != nil && r.target == k.version {
 			effects = append(effects, s.endRollout(r, state, d.gateway)...)
 		}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -31,7 +31,7 @@
 	versions map[versionKey]tally
 	rollouts map[string]*rollout
 	// verdicts are those that peers reported.
-	verdicts      map[versionKey]RolloutState
+	verdicts      verdicts
 	reachability  map[string]*reachability
 	demand        int64
 	fence         int64
@@ -47,7 +47,7 @@
 	return &State{
 		settings: s, now: s.startedAt, registry: newRegistry(), clock: newClock(s.startedAt), quotas: map[string]*quota{},
 		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, peers: map[string]*peer{}, registered: map[string]Registration{},
-		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{}, verdicts: map[versionKey]RolloutState{}, reachability: map[string]*reachability{}, arrivals: newArrivals(s.startedAt),
+		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, rollouts: map[string]*rollout{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, arrivals: newArrivals(s.startedAt),
 	}
 }
 
@@ -153,16 +153,16 @@
 
 // quota returns the team's quota, advanced to now.
 func (s *State) quota(t *Team) *quota {
-	b := newBound(t.rate, t.burst, s.settings.slack)
+	pacing := meshPacing
+	if s.cells != nil {
+		pacing = cellPacing
+	}
+	b := newBound(t.rate, t.burst, s.settings.slack, pacing)
 	q, ok := s.quotas[t.name]
 	if !ok {
 		q = newQuota(s.uptime(), b, s.settings.firstStart)
 		s.quotas[t.name] = q
 	}
-	q.pacing = meshPacing
-	if s.cells != nil {
-		q.pacing = cellPacing
-	}
 	q.advance(s.uptime(), b)
 	return q
 }
@@ -236,7 +236,7 @@
 	d := Digest{
 		sequence: s.sequence, gateway: s.settings.name, incarnation: s.settings.incarnation, wall: now, storeUnavailable: s.registry.storeUnavailable,
 		loads: map[string]Load{}, admitted: map[string]buckets{}, usage: usage{}, demand: s.demand, notReady: !s.Ready(), fence: s.fence,
-		versions: make(map[versionKey]tally, len(s.versions)), domains: []string{s.settings.domain}, members: []string{s.settings.name}, covers: 1,
+		versions: make(map[versionKey]tally, len(s.versions)), verdicts: s.knownVerdicts(), domains: []string{s.settings.domain}, members: []string{s.settings.name}, covers: 1,
 	}
 	d.recentRate, d.baselineRate = s.arrivals.ratesWithoutTopTeam()
 	for id, t := range s.registry.targets {
@@ -258,9 +258,6 @@
 			}
 		}
 	}
-	for k, state := range s.knownVerdicts() {
-		d.addVerdict(k, state)
-	}
 	d.usage.add(s.usage)
 	for k, t := range s.versions {
 		d.versions[k] = t
