--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,7 +75,8 @@
 		}
 		block := s.buffer[begin:end]
 		begin = end
-		if !isEvent(block) {
+		id, event := parseBlock(block)
+		if !event {
 			if s.idleBytes += len(block); s.idleBytes > maxIdleBytes {
 				err = errIdle
 				break
@@ -85,7 +86,7 @@
 		}
 		s.idleBytes = 0
 		var repeated bool
-		if repeated, err = s.track(block); err == nil && !repeated {
+		if repeated, err = s.track(id); err == nil && !repeated {
 			events++
 			complete = append(complete, block...)
 		}
@@ -117,22 +118,28 @@
 	}
 }
 
-// isEvent reports whether the block has a field that a caller gets: comments and blank lines are no events.
-func isEvent(block []byte) bool {
+// parseBlock returns the id field of a block, empty if it has none, and whether the block is an event: comments and blank
+// lines are none.
+func parseBlock(block []byte) (id string, event bool) {
 	for line := range bytes.SplitSeq(block, []byte("\n")) {
-		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
-		if string(name) == "data" || string(name) == "id" {
-			return true
+		name, value, hasValue := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
+		switch string(name) {
+		case "id":
+			if hasValue {
+				return string(bytes.TrimSpace(value)), true
+			}
+			event = true
+		case "data":
+			event = true
 		}
 	}
-	return false
+	return "", event
 }
 
-// track counts the event unless it was delivered before, and reports whether it was.
-func (s *eventSplitter) track(event []byte) (repeated bool, err error) {
-	id, ok := eventID(event)
+// track counts the event with the id unless it was delivered before, and reports whether it was.
+func (s *eventSplitter) track(id string) (repeated bool, err error) {
 	n, parseErr := strconv.ParseInt(id, 10, 64)
-	if !ok || parseErr != nil {
+	if parseErr != nil {
 		if s.repeating {
 			return false, errAmbiguous
 		}
@@ -153,13 +160,3 @@
 	s.delivered++
 	return false, nil
 }
-
-// eventID returns the id field of an event.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest)), true
-		}
-	}
-	return "", false
-}
