Calls without a reply are marked where that is known, bodies are bounded in one place

The contract stands at duty.Cloud, so that callCloud need not look at its context, and the stand-ins of the tests keep to it. One behaviour changes: a stop after an unanswered report of a rollout lets the lease expire too. - The check of lease and stop stood twice beside callCloud's: Runner.mayAct.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -17,8 +17,8 @@
 // ErrNoCapacity is returned when the cloud has no upstreams of the class in the domain now.
 var ErrNoCapacity = errors.New("duty: no upstreams available in the domain")
 
-// ErrNoReply is returned when the cloud did not reply to a call, which it may have carried out or still carry out.
-var ErrNoReply = errors.New("duty: no reply from the cloud")
+// ErrNoReply is returned for a call that had no reply: it may have been carried out, or may still be.
+var ErrNoReply = errors.New("duty: no reply")
 
 // Topic is the topic of the store that holds the lease and the fixed usage counts.
 type Topic interface {
@@ -30,7 +30,8 @@
 	Append(ctx context.Context, key string, value []byte, at int64) error
 }
 
-// Cloud is the API that the lease holder calls; usage reports and orders carry its fence.
+// Cloud is the API that the lease holder calls; usage reports and orders carry its fence. A call without a reply, also one
+// whose context has ended, returns ErrNoReply.
 type Cloud interface {
 	// ReportUsage reports the request counts of a window by team.
 	ReportUsage(ctx context.Context, fence, window int64, counts map[string]int64) error
@@ -266,7 +267,7 @@
 		last--
 	}
 	for w := last - reportedWindows + 1; w <= last; w++ {
-		if r.reported[w] || ctx.Err() != nil || !r.lease.Held(r.now()) {
+		if r.reported[w] || !r.mayAct(ctx) {
 			continue
 		}
 		if err := r.reportWindow(ctx, w); err != nil {
@@ -313,6 +314,11 @@
 // errNotHeld is returned for a call that the lease does not cover any more.
 var errNotHeld = errors.New("duty: the lease has ended")
 
+// mayAct reports whether this gateway holds the lease and is not being stopped.
+func (r *Runner) mayAct(ctx context.Context) bool {
+	return ctx.Err() == nil && r.lease.Held(r.now())
+}
+
 // callCloud makes a call as the holder. The call must end before the lease does, and a stop of this gateway does not cancel
 // it: a call that was sent may be carried out later, after those of the next holder.
 func (r *Runner) callCloud(ctx context.Context, call func(context.Context) error) error {
@@ -323,7 +329,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(callTimeout, remaining))
 	defer cancel()
 	err := call(ctx)
-	r.unanswered = errors.Is(err, ErrNoReply) || (err != nil && ctx.Err() != nil)
+	r.unanswered = errors.Is(err, ErrNoReply)
 	return err
 }
 
@@ -418,7 +424,7 @@
 		return nil
 	case o.accepted && o.count == c.count && !o.fulfilled && now.Sub(o.at) < orderRetryDelay:
 		return nil
-	case ctx.Err() != nil || !r.lease.Held(r.now()):
+	case !r.mayAct(ctx):
 		return nil
 	}
 	err := r.callCloud(ctx, func(ctx context.Context) error { return r.cloud.OrderUpstreams(ctx, r.lease.Fence(), f.Service(), c) })
--- a/duty/handover_test.go
+++ b/duty/handover_test.go
@@ -130,7 +130,7 @@
 	if cut {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return errors.Wrap(ErrNoReply, ctx.Err().Error())
 		case <-p.killed:
 			return errKilled
 		}
@@ -154,7 +154,7 @@
 		}
 		return err
 	case <-ctx.Done():
-		return ctx.Err()
+		return errors.Wrap(ErrNoReply, ctx.Err().Error())
 	case <-p.killed:
 		return errKilled
 	}
@@ -487,7 +487,7 @@
 	case <-finished:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return errors.Wrap(ErrNoReply, ctx.Err().Error())
 	}
 }
 
--- a/outside/client.go
+++ b/outside/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -61,12 +60,12 @@
 		return rail.WrapError(err, rail.KindPlatformUnavailable, method+" "+path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, complete, err := rail.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		c.closeIdleAfterTimeout(ctx)
 		return rail.WrapError(err, rail.KindPlatformUnavailable, method+" "+path)
 	}
-	if len(body) > maxResponseBytes {
+	if !complete {
 		return rail.NewError(rail.KindPlatformUnavailable, "%s %s: response of more than %d bytes", method, path, maxResponseBytes)
 	}
 	if resp.StatusCode/100 != 2 {
--- a/service/client.go
+++ b/service/client.go
@@ -128,11 +128,11 @@
 }
 
 func (c *Client) readBody(ctx context.Context, r *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, c.settings.maxBodyBytes+1))
+	body, complete, err := rail.ReadBody(r.Body, c.settings.maxBodyBytes)
 	if err != nil {
 		return nil, c.callError(ctx, err)
 	}
-	if int64(len(body)) > c.settings.maxBodyBytes {
+	if !complete {
 		return nil, rail.NewError(rail.KindAnswerNotKept, "answer is larger than %d bytes", c.settings.maxBodyBytes)
 	}
 	return body, nil
