--- a/gateway/call.go
+++ b/gateway/call.go
@@ -101,3 +101,6 @@
 
 // Message returns the request to forward.
 func (c *Call) Message() Message { return c.message }
+
+// Deadline returns the time until which the caller waits.
+func (c *Call) Deadline() time.Time { return c.deadline }
