Failing test: streams of a silent engine are broken off though nothing can go on with them

What callers see: the connection ends in the middle of a stream, while the engine only pauses for a second.

Two streams that get no event for 0.45 s (longer by the route's gap goal) count as a silent engine, and every stream there that may be resumed is aborted. Whether the retry budget and another engine let it go on is decided after that, and where they do not the answer is cut.

--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -183,6 +183,47 @@
 	is.Equal(len(aborts(h.advance(silentEngineTimeout).post(Ticked{}))), 3)
 }
 
+// Guards against streams that are broken off because their engine is silent, though no other engine can go on with them.
+func TestSilentEngineKeepsItsStreamsThatCannotGoOnElsewhere(t *testing.T) {
+	const streams = 6
+	for _, c := range []struct {
+		name    string
+		retries float64 // The retry budget, beyond the share of the requests.
+		prepare func(h *harness)
+		aborted int
+	}{
+		{"another engine has room", 60, func(*harness) {}, streams},
+		{"no other engine", 60, func(h *harness) { h.list(UpstreamRemoved("b")) }, 0},
+		{"the other engine leaves", 60, func(h *harness) { h.list(UpstreamSet(testEngine("b", "north").WithLeaving(2 * time.Second))) }, 0},
+		{"the other engine has a request limit", 60, func(h *harness) {
+			h.state.registry.targets["b"].limit.limitNews = limitNews{RequestLimit: RequestLimit{perSecond: 100, named: true}, at: h.now}
+		}, 0},
+		{"no retries are left", 0, func(*harness) {}, 0},
+		{"two retries are left", 1.5, func(*harness) {}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newServingHarness(testEngine("a", "north"))
+			h.state.settings = h.state.settings.WithRetries(0.2, c.retries)
+			for range streams {
+				call := h.advance(time.Millisecond).call("/drafts/1")
+				is.Equal(h.arrive(call).(Send).upstream.id, "a")
+				h.post(AnswerStarted{call: call})
+			}
+			h.list(UpstreamSet(testEngine("b", "north")))
+			c.prepare(h)
+			aborted := aborts(h.advance(time.Second).post(Ticked{}))
+			is.Equal(len(aborted), c.aborted)
+			for _, a := range aborted {
+				next, ok := h.end(a.call, Outcome{kind: a.kind, events: 3, lastEventID: "3"}).(Send)
+				is.True(ok)
+				is.Equal(next.upstream.id, "b")
+			}
+			is.Equal(len(aborts(h.advance(100*time.Millisecond).post(Ticked{}))), 0)
+		})
+	}
+}
+
 func aborts(effects []Effect) []Abort {
 	var found []Abort
 	for _, e := range effects {
