Streams of a silent engine are aborted only if another engine can go on with them

What callers saw: a stream that may be resumed ended in its middle, though its engine was only silent for some hundred milliseconds.

Cause: abortSilent did not ask whether a further attempt was possible; with no other engine, or with the retry budget used up, the end of the attempt was the end of the answer. An engine's streams fall silent together, so that one pause needs a retry for each of them. Now an attempt is aborted only if another engine can take it, and the retry is taken from the budget at that moment, so that as many streams are aborted as can go on. Engines that named a request limit, or that are asked whether they accept requests again, do not count: they may have room for one.

Ruled out: streams that stalled for longer than their callers wait are aborted as before.

TestSilentEngineLosesItsStreamsThatMayGoOn demanded the abort with one engine in the list, that is, the fault; it has two now, and the same bounds.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -29,6 +29,7 @@
 	lastEventAt   time.Time // Time of the current attempt's last event.
 	resume        string
 	promptCleared bool // The current attempt has gone on after its beginning.
+	retryReserved bool // The retry budget was spent already for the attempt after the current one.
 	version       versionKey
 	// expectedFirst is the expected time to the current attempt's first token, expectedStep that of each token after it.
 	expectedFirst, expectedStep time.Duration
@@ -158,7 +159,7 @@
 // dispatch starts an attempt of the call at the upstream.
 func (s *State) dispatch(c *Call, p *pendingCall, t *target, wait time.Duration) []Effect {
 	p.attempts++
-	p.target, p.gotFirstToken, p.promptCleared, p.sentAt, p.lastEventAt = t, false, false, s.now, s.now
+	p.target, p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = t, false, false, false, s.now, s.now
 	p.tried[t] = true
 	t.limit.take()
 	t.refusal.take(c)
@@ -371,7 +372,23 @@
 }
 
 func (s *State) spendRetry(p *pendingCall) bool {
-	return s.retryBudget(p.service.name).spend(s.uptime(), s.settings.retryRatio, s.settings.retryExtra/float64(s.gateways()))
+	return p.retryReserved || s.retryBudget(p.service.name).spend(s.uptime(), s.settings.retryRatio, s.settings.retryExtra/float64(s.gateways()))
+}
+
+// reserveRetry reserves what another attempt needs if the current one is aborted, and reports whether that may follow.
+func (s *State) reserveRetry(c *Call, p *pendingCall) bool {
+	if p.retryReserved {
+		return true
+	}
+	if _, blocked := s.quarantined(c, p.teamName()); blocked || !s.mayRetry(p, false) || !s.now.Add(deadlineMargin).Before(p.deadline) {
+		return false
+	}
+	next, _ := s.chooseUpstream(c, p)
+	if next == nil || next.limit.named || next.refusal.probing { // These may not have room for all calls that are aborted at once.
+		return false
+	}
+	p.retryReserved = s.spendRetry(p)
+	return p.retryReserved
 }
 
 func (s *State) recordOutcome(p *pendingCall, o Outcome) {
@@ -439,8 +456,8 @@
 	return max(minStallTimeout, stallGoals*r.goal, stallGaps*r.gapGoal) + stallMargin
 }
 
-// abortSilent aborts the streams that stalled, and the resumable attempts at engines that stopped sending on all their
-// streams at once.
+// abortSilent aborts the streams that stalled, and the attempts at engines that stopped sending on all their streams at once if
+// another attempt can go on with the stream.
 func (s *State) abortSilent() []Effect {
 	type streamActivity struct {
 		streams int
@@ -474,6 +491,9 @@
 		if a.streams < minSilentStreams && !s.peersSilent(p.target.domain) {
 			continue
 		}
+		if !s.reserveRetry(c, p) {
+			continue
+		}
 		effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
 	}
 	return effects
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -178,6 +178,7 @@
 		h.post(AnswerStarted{call: c})
 		calls = append(calls, c)
 	}
+	h.list(UpstreamSet(testEngine("b", "north")))
 	h.advance(silentEngineTimeout / 2).post(StreamProgressed{call: calls[0]})
 	is.Equal(len(aborts(h.advance(silentEngineTimeout/2).post(Ticked{}))), 0) // One stream still progresses.
 	is.Equal(len(aborts(h.advance(silentEngineTimeout).post(Ticked{}))), 3)
