SIGTERM and SIGHUP no longer share a channel

What callers saw: requests that were cut when the gateway was killed at the end of the grace period, since it had not noticed the SIGTERM.

Cause: os/signal drops a signal whose channel is full, and all signals shared one with room for one, which was read only between two reads of the settings. A SIGHUP that was being handled and one behind it were enough, or a process that is not scheduled between them. Now each matter has its channel: a SIGTERM finds room, and does not wait for a read of the settings. A dropped SIGHUP has one before it that is not handled yet.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -278,6 +278,18 @@
 	}
 }
 
+// reloadOn reads the settings again on each signal.
+func (d *daemon) reloadOn(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			d.reload()
+		}
+	}
+}
+
 // reload reads the settings again. If they have a fault, those in force stay.
 func (d *daemon) reload() {
 	s, err := readPlatformSettings(os.Getenv(platform.SettingsVariable))
--- a/cmd/dandelionrail/gateway.go
+++ b/cmd/dandelionrail/gateway.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,17 +34,14 @@
 	if err != nil {
 		return fail(exitFailed, err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A channel for each matter, since a signal that finds its channel full is dropped.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	d.start()
-	for received := range signals {
-		if received == syscall.SIGHUP {
-			d.reload()
-			continue
-		}
-		break
-	}
+	d.group.Go(func(ctx context.Context) { d.reloadOn(ctx, reload) })
+	<-stop
 	d.shutdown()
 	return exitOK
 }
