Failing test: a SIGHUP during the start ends the gateway

What callers see: connections that are refused until the process has been started once more. The signals are caught only after the settings were read.

--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -84,3 +84,23 @@
 		t.Fatal("the gateway did not stop")
 	}
 }
+
+// Guards against a gateway that is ended by the signal for changed settings, which the platform may send right after the start.
+func TestSIGHUPDuringTheStartDoesNotEndTheGateway(t *testing.T) {
+	t.Parallel()
+	p := startSingle(t)
+	p.kill()
+	readSettings := p.blockSettings(t)
+	is := is.New(t)
+	is.NoErr(p.start())
+	time.Sleep(500 * time.Millisecond) // It waits for its settings.
+	p.signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	select {
+	case <-p.ended:
+		t.Fatal("the gateway ended: ", p.cmd.ProcessState)
+	default:
+	}
+	readSettings()
+	p.awaitListener(t)
+}
