Signals are caught before the settings are read

What callers saw: refused connections, since a SIGHUP that came during the start ended the process. The platform may change the settings at any time.

Cause: the default action of SIGHUP was in force until the settings had been read. The channels are set up first now; a SIGHUP that comes early leads to one more read, a SIGTERM to a shutdown once the gateway runs.

Evidence: TestSIGHUPDuringTheStartDoesNotEndTheGateway, ended by the signal before, listens now.

--- a/cmd/dandelionrail/gateway.go
+++ b/cmd/dandelionrail/gateway.go
@@ -26,6 +26,11 @@
 }
 
 func (c *gatewayCommand) run() int {
+	// A channel for each matter, since a signal that finds its channel full is dropped.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	s, err := readPlatformSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return fail(exitBadInput, err)
@@ -34,11 +39,6 @@
 	if err != nil {
 		return fail(exitFailed, err)
 	}
-	// A channel for each matter, since a signal that finds its channel full is dropped.
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reload, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
 	d.start()
 	d.group.Go(func(ctx context.Context) { d.reloadOn(ctx, reload) })
 	<-stop
