A panic in the reducer no longer locks the gateway

What callers saw: every request after the panic hung until its deadline, and the gateway was neither ready nor restarted.

Cause: Post unlocked the mutex after Reduce without a deferred call, and net/http recovers from panics of handlers. The locked part is a function of its own with a deferred unlock now; the reports are written after it, as before.

Evidence: TestPanicInTheReducerDoesNotLockTheGateway, locked after a second before, ready at once after.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,10 +81,18 @@
 
 // Post applies the event and runs its effects. It returns the effect that the event's call must carry out, nil if there is none.
 func (g *Gateway) Post(e Event) Effect {
+	callEffect, reports := g.reduce(e)
+	for _, r := range reports {
+		g.log.Write(r.number, r.fields...)
+	}
+	return callEffect
+}
+
+// reduce applies the event, runs its aborts, and returns its call's effect and its reports.
+func (g *Gateway) reduce(e Event) (callEffect Effect, reports []Report) {
 	g.mu.Lock()
-	effects := g.state.Reduce(time.Now(), e)
-	var callEffect Effect
-	for _, x := range effects {
+	defer g.mu.Unlock() // Also after a panic, from which net/http recovers.
+	for _, x := range g.state.Reduce(time.Now(), e) {
 		switch x := x.(type) {
 		case Send, Refuse, Deliver:
 			callEffect = x
@@ -92,15 +100,11 @@
 			if abort, ok := g.aborts[x.call]; ok {
 				abort(rail.NewError(x.kind, "attempt aborted"))
 			}
+		case Report:
+			reports = append(reports, x)
 		}
 	}
-	g.mu.Unlock()
-	for _, x := range effects {
-		if r, ok := x.(Report); ok {
-			g.log.Write(r.number, r.fields...)
-		}
-	}
-	return callEffect
+	return callEffect, reports
 }
 
 // View calls f with the state under the lock; f must not retain it.
