The silence of a gateway's own pause is no evidence against engines

What callers may see: streams that end before their last event after their gateway did not run for a second, as it happens to a process with a fifth of a core.

Cause: the tick after a pause compares the time with the last events that were read; what came meanwhile waits in the sockets, so that all streams of all engines look silent, and are aborted as far as the retry budget reaches.

Change: a tick that comes over 250 ms after the one before moves the last events by the time in which the process did not run. The length of a tick has one definition.

TestPausedGatewayKeepsItsStreams: in three of its four cases three of three streams were aborted at the first tick after the pause; none now, and an engine that stays silent after the pause is found as before. TestSilentEngineLosesItsStreamsThatMayGoOn ticks each 100 ms now, as a gateway does; its bounds are the same.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -27,8 +27,6 @@
 )
 
 const (
-	// tickInterval is the time between Ticked events to the reducer.
-	tickInterval = 100 * time.Millisecond
 	// sweepInterval is the time between checks for idle connections and changed settings.
 	sweepInterval = time.Second
 	// watchInterval is the time between reads of the configuration and of the upstreams, and watchWait is how long each
@@ -218,7 +216,7 @@
 }
 
 func (d *daemon) runTicker(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
+	t := time.NewTicker(gateway.TickInterval)
 	defer t.Stop()
 	swept := time.Now()
 	for {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -46,6 +46,8 @@
 	sequence      int64
 	leaving       bool
 	upstreamsRead bool
+	// tickedAt is the time of the last Ticked event.
+	tickedAt time.Time
 	// pendingRestore is kept until the first configuration is read.
 	pendingRestore *AdmittedRestored
 }
@@ -157,6 +159,7 @@
 
 // ticked performs the periodic work.
 func (s *State) ticked() []Effect {
+	s.excusePause()
 	effects := append(s.registry.dropExpired(s.now), s.registry.releaseReturned(s.now)...)
 	if s.registrations.tick(s.now) {
 		s.registrationsChanged()
