A panic within a request is logged and answered

What callers saw: a connection that closed without an answer, and no line in any log.

Cause: net/http recovers from a panic of a handler, closes the connection and writes to its ErrorLog, which is discarded; the reducer still counted the call as in flight. Now the relay recovers: event 1245 has the stack, the call ends in the reducer, so that its load is released and it is not tried again, and the caller gets a 500, or an aborted answer if a part of it was sent.

Not covered: a panic before the relay, while the head and the body of a request are read; it is handled as before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -53,15 +54,28 @@
 }
 
 // Serve answers the call; ctx ends when the caller disconnects.
-func (g *Gateway) Serve(ctx context.Context, c *Call, w http.ResponseWriter) error {
+func (g *Gateway) Serve(ctx context.Context, c *Call, w http.ResponseWriter) (err error) {
 	r := &relay{gateway: g, call: c, writer: w, reservation: g.memory.Reserve()}
 	defer r.reservation.Release()
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = r.endAfterPanic(cause)
+		}
+		g.metrics.RequestDone(r.route, r.kind, time.Since(c.arrived))
+	}()
 	if c.resume != "" {
 		r.events.resumeAfter(c.resume)
 	}
-	err := r.run(ctx)
-	g.metrics.RequestDone(r.route, r.kind, time.Since(c.arrived))
-	return err
+	return r.run(ctx)
+}
+
+// endAfterPanic ends the call and answers it, unless a part of an answer was sent.
+func (r *relay) endAfterPanic(cause any) error {
+	r.kind = rail.KindInternal
+	err := rail.NewError(r.kind, "panic: %v", cause)
+	r.gateway.log.Write(rail.EventRequestPanicked, NewField("request", r.call.id), ErrorField(err), NewField("stack", string(debug.Stack())))
+	r.gateway.Post(AttemptEnded{call: r.call, outcome: Outcome{kind: r.kind, err: err, final: true}})
+	return r.refuse(Refuse{call: r.call, kind: r.kind})
 }
 
 func (r *relay) run(ctx context.Context) error {
--- a/number.go
+++ b/number.go
@@ -95,6 +95,7 @@
 	EventRequestBlocked       EventNumber = 1242
 	EventRequestReleased      EventNumber = 1243
 	EventUpstreamRefusal      EventNumber = 1244
+	EventRequestPanicked      EventNumber = 1245
 	EventDutyAcquired         EventNumber = 1250
 	EventDutyLost             EventNumber = 1251
 	EventUsageReported        EventNumber = 1252
@@ -177,6 +178,7 @@
 	EventRequestBlocked:       "request blocked: upstreams crash under it",
 	EventRequestReleased:      "request released",
 	EventUpstreamRefusal:      "upstream wants no requests for a time",
+	EventRequestPanicked:      "request caused a panic",
 	EventSuspectsNotStored:    "suspected prompt parts and requests were not written to the store",
 	EventRequestLimitNamed:    "upstream named a request limit",
 	EventRequestLimitEnded:    "upstream names no request limit any more",
