--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -17,11 +17,11 @@
 	"dandelionrail.org/rail/standin/store"
 )
 
-// startSingle starts one gateway with a store that is empty.
-func startSingle(t *testing.T) *process {
+// startSingle starts one gateway with the store.
+func startSingle(t *testing.T, s *store.Store) *process {
 	t.Helper()
 	g := group.New(context.Background())
-	server := httptest.NewServer(store.New())
+	server := httptest.NewServer(s)
 	t.Cleanup(func() {
 		g.Stop()
 		server.Close()
@@ -67,7 +67,7 @@
 // Guards against a SIGTERM that is dropped since it follows signals that the settings have changed.
 func TestSIGTERMRightAfterSIGHUPsStopsTheGateway(t *testing.T) {
 	t.Parallel()
-	p := startSingle(t)
+	p := startSingle(t, store.New())
 	p.awaitListener(t)
 	p.blockSettings(t)
 	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP} {
@@ -88,7 +88,7 @@
 // Guards against a gateway that is ended by the signal for changed settings, which the platform may send right after the start.
 func TestSIGHUPDuringTheStartDoesNotEndTheGateway(t *testing.T) {
 	t.Parallel()
-	p := startSingle(t)
+	p := startSingle(t, store.New())
 	p.kill()
 	readSettings := p.blockSettings(t)
 	is := is.New(t)
