A slow attempt is given up only if another upstream can take the call

What callers saw: 504 after eight tenths of the goal of a lookup, or two goals of a stream without an event, though their deadline was far and the upstream, the only one that could answer, did so in time.

Cause: the failover timer aborted the attempt without asking the reducer whether another attempt was possible.

The simulation of crashing requests asked for the failover by itself; it posts the event now.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -214,8 +214,8 @@
 	return max(2, service.maxConns/s.gateways())
 }
 
-// failoverTimeout returns how long an attempt may take to answer before it is aborted so that the call can go to another
-// upstream; zero means no such timeout.
+// failoverTimeout returns how long an attempt may take to answer before it is aborted if the call can go to another upstream;
+// zero means no such timeout.
 func (s *State) failoverTimeout(c *Call, p *pendingCall, wait time.Duration) time.Duration {
 	if p.possibleRuns+1 >= p.route.attempts {
 		return 0 // No further attempt is allowed.
@@ -375,22 +375,34 @@
 	return p.retryReserved || s.retryBudget(p.service.name).spend(s.uptime(), s.settings.retryRatio, s.settings.retryExtra/float64(s.gateways()))
 }
 
-// reserveRetry reserves what another attempt needs if the current one is aborted, and reports whether that may follow.
-func (s *State) reserveRetry(c *Call, p *pendingCall) bool {
+// reserveRetry reserves what another attempt at an upstream that suits needs if the current one is aborted, and reports whether
+// that may follow.
+func (s *State) reserveRetry(c *Call, p *pendingCall, suits func(*target) bool) bool {
 	if p.retryReserved {
 		return true
 	}
 	if _, blocked := s.quarantined(c, p.teamName()); blocked || !s.mayRetry(p, false) || !s.now.Add(deadlineMargin).Before(p.deadline) {
 		return false
 	}
-	next, _ := s.chooseUpstream(c, p)
-	if next == nil || next.limit.named || next.refusal.probing { // These may not have room for all calls that are aborted at once.
+	if next, _ := s.chooseUpstream(c, p); next == nil || !suits(next) {
 		return false
 	}
 	p.retryReserved = s.spendRetry(p)
 	return p.retryReserved
 }
 
+// acceptsMany reports whether the upstream may have room for several calls that are aborted at once.
+func acceptsMany(t *target) bool { return !t.limit.named && !t.refusal.probing }
+
+// failOver aborts the call's attempt, which has not been answered in time, if another one may follow.
+func (s *State) failOver(c *Call) []Effect {
+	p, ok := s.calls[c]
+	if !ok || !s.reserveRetry(c, p, func(*target) bool { return true }) {
+		return nil
+	}
+	return []Effect{Abort{call: c, kind: rail.KindUpstreamSilent}}
+}
+
 func (s *State) recordOutcome(p *pendingCall, o Outcome) {
 	kind := o.kind
 	if o.answered && o.status < minServerErrorStatus {
@@ -491,7 +503,7 @@
 		if a.streams < minSilentStreams && !s.peersSilent(p.target.domain) {
 			continue
 		}
-		if !s.reserveRetry(c, p) {
+		if !s.reserveRetry(c, p, acceptsMany) {
 			continue
 		}
 		effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
--- a/gateway/deskfleet_test.go
+++ b/gateway/deskfleet_test.go
@@ -113,6 +113,9 @@
 		})
 		if e.failoverTimeout > 0 {
 			f.after(e.failoverTimeout, func() {
+				if r.ended || f.down[r.gateway] || len(aborts(f.states[r.gateway].Reduce(f.now, FailoverDue{call: x.call}))) == 0 {
+					return
+				}
 				f.end(r, Outcome{kind: rail.KindUpstreamSilent, timedOut: true, err: rail.NewError(rail.KindUpstreamSilent, "no answer")})
 			})
 		}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -183,6 +183,9 @@
 	outcome Outcome
 }
 
+// FailoverDue reports that the current attempt of a call has had its failover timeout without an answer.
+type FailoverDue struct{ call *Call }
+
 // CallerDisconnected reports that the caller of a call disconnected.
 type CallerDisconnected struct{ call *Call }
 
@@ -205,6 +208,7 @@
 func (NoticeRead) gatewayEvent()         {}
 func (StreamProgressed) gatewayEvent()   {}
 func (AttemptEnded) gatewayEvent()       {}
+func (FailoverDue) gatewayEvent()        {}
 func (CallerDisconnected) gatewayEvent() {}
 
 // Effect is an action that State requests.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -114,7 +114,7 @@
 	defer r.gateway.setAbort(r.call, nil)
 	stopTimer := func() bool { return true }
 	if e.failoverTimeout > 0 {
-		stopTimer = time.AfterFunc(e.failoverTimeout, func() { abort(rail.NewError(rail.KindUpstreamSilent, "no answer after %v", e.failoverTimeout)) }).Stop
+		stopTimer = r.gateway.startFailover(ctx, e).stop
 	}
 	defer stopTimer()
 	r.failedAnswer = nil
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -77,6 +77,8 @@
 		s.streamProgressed(e.call)
 	case AttemptEnded:
 		return s.attemptEnded(e.call, e.outcome)
+	case FailoverDue:
+		return s.failOver(e.call)
 	case CallerDisconnected:
 		return s.callerDisconnected(e.call)
 	case Ticked:
