Types of attempts that a peer makes, and of probes

Send.Forward, Call.Forwarded, Registration.ForwardAddress and AccessKey, Answer.WithPlacement, PlacementError, PlacementWriter, Probe and ProbeEnded; KindPeerUnreachable.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -71,6 +71,8 @@
 	resume   string
 	// requestKeyCache is the key of the request, empty until it is needed.
 	requestKeyCache string
+	// forwarded is set if a peer forwarded the call.
+	forwarded *Forwarded
 }
 
 // NewCall returns a call with its arrival time and the deadline until which the caller waits.
--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -10,7 +10,11 @@
 )
 
 // Registration is a gateway's entry in the store.
-type Registration struct{ address, domain string }
+type Registration struct {
+	address, domain string
+	// forwardAddress and accessKey are empty if the gateway accepts no forwarded calls.
+	forwardAddress, accessKey string
+}
 
 // NewRegistration returns an entry with host:port for peers; an empty address removes the gateway.
 func NewRegistration(address, domain string) Registration {
@@ -23,6 +27,18 @@
 // Domain returns the gateway's failure domain.
 func (r Registration) Domain() string { return r.domain }
 
+// WithForwarding returns a copy with host:port for forwarded calls and the key that they must have.
+func (r Registration) WithForwarding(address, key string) Registration {
+	r.forwardAddress, r.accessKey = address, key
+	return r
+}
+
+// ForwardAddress returns host:port for forwarded calls, empty if the gateway accepts none.
+func (r Registration) ForwardAddress() string { return r.forwardAddress }
+
+// AccessKey returns the key that forwarded calls must have.
+func (r Registration) AccessKey() string { return r.accessKey }
+
 // Contact is a peer to exchange digests with.
 type Contact struct{ name, address string }
 
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -169,6 +169,8 @@
 	// final reports whether the caller has a part of an answer that no other attempt can complete.
 	final bool
 	err   error
+	// placement is the id of the upstream that a peer sent the call to, empty if it sent it to none.
+	placement string
 }
 
 // brokenOff reports whether the upstream's connection ended before the answer did.
@@ -229,6 +231,8 @@
 	failoverTimeout time.Duration
 	// limited reports whether the upstream had named a request limit.
 	limited bool
+	// forward is set if a peer makes the attempt.
+	forward *Forward
 }
 
 // Refuse requests that a call be answered with an error of this gateway.
@@ -311,5 +315,13 @@
 // Deadline returns the time after which the caller no longer needs the answer.
 func (e Send) Deadline() time.Time { return e.deadline }
 
+// Forward returns the description of an attempt that a peer makes; false for one at an upstream.
+func (e Send) Forward() (Forward, bool) {
+	if e.forward == nil {
+		return Forward{}, false
+	}
+	return *e.forward, true
+}
+
 // Streaming reports whether the answer is a stream of events.
 func (e Send) Streaming() bool { return e.route.streaming }
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,132 @@
+package gateway
+
+import "dandelionrail.org/rail"
+
+// Forward describes an attempt that a peer makes on behalf of this gateway: the peer chooses the upstream.
+type Forward struct {
+	peer, address, key string
+	team               string
+	configVersion      int64
+	tried              []string
+	attemptsLeft       int
+}
+
+// Peer returns the name of the peer.
+func (f Forward) Peer() string { return f.peer }
+
+// Address returns host:port at which the peer accepts forwarded calls.
+func (f Forward) Address() string { return f.address }
+
+// Key returns the key that the peer requires of forwarded calls.
+func (f Forward) Key() string { return f.key }
+
+// Team returns the name of the call's team, empty if it has none.
+func (f Forward) Team() string { return f.team }
+
+// ConfigVersion returns the version of the configuration by which the call was admitted.
+func (f Forward) ConfigVersion() int64 { return f.configVersion }
+
+// Tried returns the ids of the upstreams that the call was sent to before.
+func (f Forward) Tried() []string { return f.tried }
+
+// AttemptsLeft returns how many attempts may run, this one included.
+func (f Forward) AttemptsLeft() int { return f.attemptsLeft }
+
+// Forwarded describes a call that a peer forwarded to this gateway.
+type Forwarded struct {
+	from          string
+	team          string
+	configVersion int64
+	tried         []string
+	attemptsLeft  int
+}
+
+// NewForwarded returns the description of a call from the named gateway, which admitted it for the team, empty for none.
+func NewForwarded(from, team string, configVersion int64, tried []string, attemptsLeft int) Forwarded {
+	return Forwarded{from: from, team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}
+}
+
+// From returns the name of the gateway that has the caller.
+func (f Forwarded) From() string { return f.from }
+
+// Team returns the name of the team, empty for none.
+func (f Forwarded) Team() string { return f.team }
+
+// ConfigVersion returns the version of the configuration by which the call was admitted.
+func (f Forwarded) ConfigVersion() int64 { return f.configVersion }
+
+// Tried returns the ids of the upstreams that the call was sent to before.
+func (f Forwarded) Tried() []string { return f.tried }
+
+// AttemptsLeft returns how many attempts may run, this one included.
+func (f Forwarded) AttemptsLeft() int { return f.attemptsLeft }
+
+// WithForwarded returns the call as one that a peer forwarded; its team is taken by name, never by key.
+func (c *Call) WithForwarded(f Forwarded) *Call {
+	c.forwarded = &f
+	return c
+}
+
+// Forwarded returns the description of a forwarded call, false for a call that arrived from its caller.
+func (c *Call) Forwarded() (Forwarded, bool) {
+	if c.forwarded == nil {
+		return Forwarded{}, false
+	}
+	return *c.forwarded, true
+}
+
+// PlacementWriter is the response writer of a forwarded call. It is told of what became of the call before the status is written.
+type PlacementWriter interface {
+	// Placed states the upstream that the call was sent to, empty if there was none, and the kind of error, KindNone if the
+	// response is that of the upstream.
+	Placed(upstreamID string, kind rail.Kind)
+}
+
+// PlacementError is the error of a forwarded attempt that reached an upstream.
+type PlacementError struct {
+	cause      error
+	upstreamID string
+}
+
+// NewPlacementError returns the error with its cause and the upstream that the peer sent the call to.
+func NewPlacementError(cause error, upstreamID string) *PlacementError {
+	return &PlacementError{cause: cause, upstreamID: upstreamID}
+}
+
+// Error returns the text of the cause.
+func (e *PlacementError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PlacementError) Unwrap() error { return e.cause }
+
+// WithPlacement sets the upstream whose answer a peer forwarded, and returns the answer.
+func (a *Answer) WithPlacement(upstreamID string) *Answer {
+	a.placement = upstreamID
+	return a
+}
+
+// Probe requests that the upstream be asked whether it can be reached; no call is involved.
+type Probe struct {
+	upstream Upstream
+	maxConns int
+}
+
+// Upstream returns the upstream to reach.
+func (e Probe) Upstream() Upstream { return e.upstream }
+
+// MaxConns returns how many connections to the upstream this gateway may open, zero for no limit.
+func (e Probe) MaxConns() int { return e.maxConns }
+
+// ProbeEnded reports whether a probe reached its upstream.
+type ProbeEnded struct {
+	upstreamID string
+	ok         bool
+}
+
+// NewProbeEnded returns the event.
+func NewProbeEnded(upstreamID string, ok bool) ProbeEnded {
+	return ProbeEnded{upstreamID: upstreamID, ok: ok}
+}
+
+func (Probe) gatewayEffect()     {}
+func (ProbeEnded) gatewayEvent() {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,8 @@
 type Sender interface {
 	// Send performs one attempt and returns the answer with its body unread; the error's kind tells whether the call may have run.
 	Send(ctx context.Context, e Send) (*Answer, error)
+	// Probe starts to ask the upstream for a sign that it is reached, without blocking, and reports whether it gave one.
+	Probe(e Probe, report func(ok bool))
 }
 
 // Log writes log lines without blocking.
@@ -41,6 +43,8 @@
 	// endsWithConnection reports whether only the end of the connection marks the end of the body.
 	endsWithConnection bool
 	notice             Notice
+	// placement is the id of the upstream whose answer a peer forwarded.
+	placement string
 }
 
 // NewAnswer returns an answer with the headers to forward; length is that of the body, negative if unknown.
@@ -81,15 +85,20 @@
 
 // Post applies the event and runs its effects. It returns the effect that the event's call must carry out, nil if there is none.
 func (g *Gateway) Post(e Event) Effect {
-	callEffect, reports := g.reduce(e)
-	for _, r := range reports {
-		g.log.Write(r.number, r.fields...)
+	callEffect, others := g.reduce(e)
+	for _, x := range others {
+		switch x := x.(type) {
+		case Report:
+			g.log.Write(x.number, x.fields...)
+		case Probe:
+			g.sender.Probe(x, func(ok bool) { g.Post(NewProbeEnded(x.upstream.id, ok)) })
+		}
 	}
 	return callEffect
 }
 
-// reduce applies the event, runs its aborts, and returns its call's effect and its reports.
-func (g *Gateway) reduce(e Event) (callEffect Effect, reports []Report) {
+// reduce applies the event, runs its aborts, and returns its call's effect and the others.
+func (g *Gateway) reduce(e Event) (callEffect Effect, others []Effect) {
 	g.mu.Lock()
 	defer g.mu.Unlock() // Also after a panic, from which net/http recovers.
 	for _, x := range g.state.Reduce(time.Now(), e) {
@@ -100,11 +109,11 @@
 			if abort, ok := g.aborts[x.call]; ok {
 				abort(rail.NewError(x.kind, "attempt aborted"))
 			}
-		case Report:
-			reports = append(reports, x)
+		default:
+			others = append(others, x)
 		}
 	}
-	return callEffect, reports
+	return callEffect, others
 }
 
 // View calls f with the state under the lock; f must not retain it.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,7 +36,9 @@
 	call    *Call
 	route   rail.RouteName
 	writer  http.ResponseWriter
-	events  eventSplitter
+	// upstreamID is the id of the upstream of the last attempt.
+	upstreamID string
+	events     eventSplitter
 	// headerSent reports whether the answer's status and headers were sent, streaming whether they are those of a stream.
 	headerSent, streaming bool
 	// failedAnswer is an upstream's error answer, forwarded if no other attempt follows.
@@ -85,6 +87,7 @@
 		case Send:
 			r.route = rail.RouteName(e.route.name)
 			r.gateway.metrics.Attempt(r.route)
+			r.upstreamID = e.upstream.id
 			o := r.attempt(ctx, e)
 			if ctx.Err() != nil || r.disconnected {
 				r.gateway.Post(CallerDisconnected{call: r.call})
@@ -133,7 +136,7 @@
 		forward = r.forwardStream
 	}
 	o := forward(ctx, answer, stopTimer)
-	o.endedWithConnection = answer.endsWithConnection
+	o.endedWithConnection, o.placement = answer.endsWithConnection, answer.placement
 	return o
 }
 
@@ -155,7 +158,12 @@
 	}
 	var timeout interface{ Timeout() bool }
 	timedOut := kind == rail.KindUpstreamSilent || (errors.As(err, &timeout) && timeout.Timeout())
-	return Outcome{kind: kind, err: err, events: r.events.delivered, lastEventID: r.events.lastEventID, timedOut: timedOut, final: r.final()}
+	o := Outcome{kind: kind, err: err, events: r.events.delivered, lastEventID: r.events.lastEventID, timedOut: timedOut, final: r.final()}
+	var placed *PlacementError
+	if errors.As(err, &placed) {
+		o.placement = placed.upstreamID
+	}
+	return o
 }
 
 // final reports whether the caller has a part of an answer that no other attempt can complete.
@@ -296,6 +304,7 @@
 		return
 	}
 	r.headerSent = true
+	r.placed(r.upstreamID, rail.KindNone)
 	copyHeader(r.writer.Header(), a.header)
 	r.writer.WriteHeader(a.status)
 }
@@ -309,12 +318,20 @@
 	}
 }
 
+// placed tells the writer of a forwarded call what became of the call.
+func (r *relay) placed(upstreamID string, kind rail.Kind) {
+	if w, ok := r.writer.(PlacementWriter); ok {
+		w.Placed(upstreamID, kind)
+	}
+}
+
 // deliver forwards a buffered answer to the caller.
 func (r *relay) deliver(buffered *bufferedAnswer) error {
 	if r.headerSent || buffered == nil {
 		return ErrAborted
 	}
 	r.headerSent = true
+	r.placed(r.upstreamID, rail.KindNone)
 	copyHeader(r.writer.Header(), buffered.header)
 	if r.call.message.method != http.MethodHead {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
@@ -332,6 +349,7 @@
 		return ErrAborted
 	}
 	r.headerSent = true
+	r.placed(r.upstreamID, e.kind)
 	reply := e.kind.Reply()
 	h := r.writer.Header()
 	if e.retryAfter > 0 && reply.Run() == rail.NotRun {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -22,6 +22,8 @@
 	return nil, rail.NewError(rail.KindUpstreamFull, "full")
 }
 
+func (*refusingSender) Probe(Probe, func(bool)) {}
+
 type discardLog struct{}
 
 func (discardLog) Write(rail.EventNumber, ...Field) {}
--- a/kind.go
+++ b/kind.go
@@ -53,7 +53,9 @@
 	// KindUpstreamFull is an upstream that rejected the request before starting work on it.
 	KindUpstreamFull Kind = "upstreamFull"
 	// KindUpstreamReplaced is an address that now belongs to another upstream.
-	KindUpstreamReplaced  Kind = "upstreamReplaced"
+	KindUpstreamReplaced Kind = "upstreamReplaced"
+	// KindPeerUnreachable is a peer to which no connection was established, so that nothing was forwarded.
+	KindPeerUnreachable   Kind = "peerUnreachable"
 	KindIssuerGone        Kind = "issuerGone"
 	KindIssuerUnreachable Kind = "issuerUnreachable"
 	KindDeadlinePassed    Kind = "deadlinePassed"
@@ -126,6 +128,7 @@
 	KindUpstreamUnreachable: {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
 	KindUpstreamFull:        {http.StatusServiceUnavailable, "resource_exhausted", NotRun, shortRetry, "try again later"},
 	KindUpstreamReplaced:    {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
+	KindPeerUnreachable:     {http.StatusServiceUnavailable, "unavailable", NotRun, shortRetry, "try again"},
 	KindIssuerGone:          {http.StatusGone, "unknown", RunUnknown, 0, "check the order by hand; its entry is gone"},
 	KindIssuerUnreachable:   {http.StatusServiceUnavailable, "unknown", RunUnknown, shortRetry, "ask again with the same ticket"},
 	KindDeadlinePassed:      {http.StatusGatewayTimeout, "deadline_exceeded", RunUnknown, 0, "ask for the outcome before sending anything again"},
