--- a/gateway/cells_test.go
+++ b/gateway/cells_test.go
@@ -20,12 +20,15 @@
 	// exchanged is called after two gateways have exchanged digests.
 	exchanged func(a, b *State)
 	calls     int
+	// ticked is called with the effects of each tick.
+	ticked func(s *State, effects []Effect)
 }
 
 func newSimulatedCells(n, domains int) *simulatedCells {
 	c := &simulatedCells{states: map[string]*State{}, now: time.Unix(1_000_000, 0), down: map[string]bool{}, failed: map[[2]string]time.Time{}}
 	c.partitioned = func(*State, *State) bool { return false }
 	c.exchanged = func(*State, *State) {}
+	c.ticked = func(*State, []Effect) {}
 	registrations := map[string]Registration{}
 	for i := range n {
 		name, domain := "gateway-"+strconv.Itoa(i), "domain-"+strconv.Itoa(i%domains)
@@ -61,7 +64,8 @@
 	const tick = 100 * time.Millisecond
 	at := time.Duration(c.now.UnixNano()) + phase
 	if at%tick == 0 {
-		c.states[name].Reduce(c.now, Ticked{})
+		s := c.states[name]
+		c.ticked(s, s.Reduce(c.now, Ticked{}))
 	}
 	if at%c.states[name].DigestInterval() == 0 {
 		c.exchange(name, c.states[name])
