--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -11,6 +11,11 @@
 	attemptsLeft       int
 }
 
+// NewForward returns the description of an attempt of the team's call at the named peer.
+func NewForward(peer, address, key, team string, configVersion int64, tried []string, attemptsLeft int) Forward {
+	return Forward{peer: peer, address: address, key: key, team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}
+}
+
 // Peer returns the name of the peer.
 func (f Forward) Peer() string { return f.peer }
 
