--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,3 +50,13 @@
 	}
 	is.Equal(sender.aborted, 0)
 }
+
+// Guards against a silent connection that ends without an answer and does not count as a timeout.
+func TestConnectionThatTimedOutIsReported(t *testing.T) {
+	is := is.New(t)
+	cause := &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+	o := (&relay{}).attemptFailure(t.Context(), rail.WrapError(cause, rail.KindUpstreamFailed, "no answer"))
+	is.True(o.timedOut)
+	is.True(!o.brokenOff())
+	is.Equal(o.kind, rail.KindUpstreamFailed) // It may have run.
+}
