Settings name the port for forwarded requests

A range without one is a fault for dandelionrail check, but no reason not to start: peers then forward nothing to this gateway.

--- a/cmd/dandelionrail/check.go
+++ b/cmd/dandelionrail/check.go
@@ -30,19 +30,38 @@
 }
 
 func (c *checkCommand) run() int {
-	var err error
+	check := checkSettings
 	if c.platform {
-		_, err = readPlatformSettings(c.file)
-	} else {
-		_, err = readSettings(c.file)
+		check = checkPlatformSettings
 	}
-	if err != nil {
+	if err := check(c.file); err != nil {
 		return fail(exitBadInput, err)
 	}
 	fmt.Println(c.file + ": no faults")
 	return exitOK
 }
 
+func checkSettings(file string) error {
+	_, err := readSettings(file)
+	return err
+}
+
+// checkPlatformSettings also prints the faults with which a gateway can run, and the addresses for other gateways.
+func checkPlatformSettings(file string) error {
+	s, err := readPlatformSettings(file)
+	if err != nil {
+		return err
+	}
+	for _, f := range s.Warnings() {
+		printFault(file, f.Line(), f.Message())
+	}
+	if n := len(s.Warnings()); n > 0 {
+		return errors.Errorf("%s has %d faults", file, n)
+	}
+	fmt.Printf("%s: gateways exchange digests at %s and forward requests to %s\n", file, s.PeerAddress(), s.ForwardAddress())
+	return nil
+}
+
 // printFault prints one fault of a file.
 func printFault(file string, line int, message string) {
 	fmt.Fprintf(os.Stderr, "%s:%d: %s\n", file, line, message)
