Gateways accept requests that peers forward, and forward them

A gateway that is partitioned from all upstreams could only refuse, though its peers reach them. The wire side: a listener on the second port of the range, which requires the key of this start from the registration in the store, and hop headers with the sender, team, configuration, tried upstreams and attempts. The caller's key is not forwarded; callers' Rail-* headers are dropped.

An answer names its upstream and, if it is the peer's own, the error kind, so that the caller's gateway knows whether the request may have run: it has not if the connection, the key or a part of the request did not reach the peer, or if the peer says so. Everything else after the request was sent may have run.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -65,6 +65,8 @@
 	store           *platform.Store
 	gateway         *gateway.Gateway
 	ingress         *platform.Ingress
+	forwards        *platform.Ingress
+	forwardKey      string
 	sender          *platform.Sender
 	gossip          *gossip.Gossip
 	duty            *duty.Runner
@@ -90,9 +92,11 @@
 	d.group = group.New(context.Background())
 	d.dutyGroup = group.New(context.Background())
 	d.store = platform.NewStore(s.StoreAddress(), s.CloudAddress())
-	d.sender = platform.NewSender(d.group)
+	d.sender = platform.NewSender(d.group, s.NodeName())
 	d.gateway = gateway.New(gateway.NewState(gatewaySettings), d.sender, d.log, t)
 	d.ingress = platform.NewIngress(d.gateway)
+	d.forwardKey = platform.NewForwardKey()
+	d.forwards = platform.NewForwardIngress(d.gateway, d.forwardKey)
 	d.watchers = map[string]*gateway.Watcher{}
 	d.gossip = gossip.New(d.gateway, d.watchers, d.log, d.group)
 	operator, upstreams, gateways, suspects := platform.NewOperatorTopic(d.store, d.log), platform.NewUpstreamTopic(d.store, d.log), platform.NewGatewayTopic(d.store), platform.NewSuspectTopic(d.store, d.log)
@@ -143,6 +147,9 @@
 			return d.ingress.Serve(l)
 		})
 	})
+	if address := d.settings.ForwardAddress(); address != "" {
+		d.group.Go(func(ctx context.Context) { d.listen(ctx, address, d.forwards.Serve) })
+	}
 	if address := d.settings.MetricsAddress(); address != "" {
 		d.group.Go(func(ctx context.Context) { d.listen(ctx, address, d.metrics.Serve) })
 	}
@@ -190,6 +197,9 @@
 // writeRegistration writes the registration until that succeeds.
 func (d *daemon) writeRegistration(ctx context.Context) {
 	registration := gateway.NewRegistration(d.settings.PeerAddress(), d.settings.Domain())
+	if address := d.settings.ForwardAddress(); address != "" {
+		registration = registration.WithForwarding(address, d.forwardKey)
+	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		err := d.store.Register(callCtx, d.settings.NodeName(), registration)
@@ -229,6 +239,7 @@
 				swept = now
 				d.sender.Sweep()
 				d.ingress.Sweep()
+				d.forwards.Sweep()
 				d.reloadIfChanged()
 			}
 		}
@@ -308,9 +319,14 @@
 	d.log.Write(rail.EventShutdown)
 	d.dutyGroup.Stop()
 	d.ingress.DisableKeepAlives()
+	d.forwards.DisableKeepAlives()
 	timer.Sleep(ctx, linger)
-	if err := d.ingress.Shutdown(ctx); err != nil {
-		d.log.Write(rail.EventShutdown, gateway.NewField("error", err.Error()))
+	stopped := make(chan error, 1)
+	d.group.Go(func(context.Context) { stopped <- d.forwards.Shutdown(ctx) }) //nolint:contextcheck // A shutdown outlives the group's context.
+	for _, err := range []error{d.ingress.Shutdown(ctx), <-stopped} {
+		if err != nil {
+			d.log.Write(rail.EventShutdown, gateway.NewField("error", err.Error()))
+		}
 	}
 	callCtx, cancelCall := context.WithTimeout(context.Background(), exitMargin)
 	defer cancelCall()
