--- a/cmd/dandelionrail/daemon_test.go
+++ b/cmd/dandelionrail/daemon_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,11 +39,44 @@
 	return ports
 }
 
+// freeRange returns a port that is free together with the next one.
+func freeRange(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		first := freePorts(t, 1)[0]
+		if l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+1))); err == nil {
+			_ = l.Close()
+			return first
+		}
+	}
+	t.Fatal("no two free ports in a row")
+	return 0
+}
+
+// syncBuffer is a buffer for concurrent use.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // system is a gateway between a stand-in store and one upstream.
 type system struct {
 	is       *is.I
 	store    *store.Store
 	daemon   *daemon
+	log      *syncBuffer
 	settings platform.Settings
 	arrived  chan struct{}
 	release  chan struct{}
@@ -50,7 +84,7 @@
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{is: is.New(t), store: store.New(), arrived: make(chan struct{}, 10), release: make(chan struct{}, 10)}
+	s := &system{is: is.New(t), store: store.New(), log: &syncBuffer{}, arrived: make(chan struct{}, 10), release: make(chan struct{}, 10)}
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -62,17 +96,17 @@
 	}))
 	t.Cleanup(upstream.Close)
 	address := strings.TrimPrefix(storeServer.URL, "http://")
-	ports := freePorts(t, 4)
+	ports, first := freePorts(t, 3), freeRange(t)
 	text := fmt.Sprintf("Node=front-1\nZone=north\nZones.north=midlands\nIp=127.0.0.1\nListen.Front=127.0.0.1:%d\nListen.Ready=127.0.0.1:%d\nPortRange=%d,%d\nProvider.Address=%s\nCloud.Address=%s\nCloud.Duties=usage\nBounds.UsageWindowS=1\nBounds.GraceS=8\n",
-		ports[0], ports[1], ports[2], ports[2], address, address)
+		ports[0], ports[1], first, first+1, address, address)
 	file := filepath.Join(t.TempDir(), "node.conf")
 	s.is.NoErr(os.WriteFile(file, []byte(text), 0o600))
 	t.Setenv(platform.SettingsVariable, file)
-	t.Setenv(platform.MetricsVariable, strconv.Itoa(ports[3]))
+	t.Setenv(platform.MetricsVariable, strconv.Itoa(ports[2]))
 	var err error
 	s.settings, err = readPlatformSettings(file)
 	s.is.NoErr(err)
-	s.daemon, err = newDaemon(s.settings, io.Discard)
+	s.daemon, err = newDaemon(s.settings, s.log)
 	s.is.NoErr(err)
 	s.daemon.start()
 	s.store.Put("keyed.op", "config", []byte(configuration))
@@ -173,3 +207,64 @@
 	s.eventually("registered again", registered)
 	s.is.True(s.ready())
 }
+
+// registrations returns those in the store.
+func (s *system) registrations(ctx context.Context) map[string]string {
+	values := map[string]string{}
+	if b, err := platform.NewGatewayTopic(platform.NewStore(s.settings.StoreAddress(), s.settings.CloudAddress())).Newest(ctx); err == nil {
+		for _, r := range b.Records() {
+			values[r.Key()] = string(r.Value())
+		}
+	}
+	return values
+}
+
+// forwardOrder sends an order as a peer does, and returns the status and the error kind.
+func (s *system) forwardOrder(ctx context.Context, id, key string) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.settings.ForwardAddress()+"/order/1", strings.NewReader("tin"))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "shop.example"
+	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "5000", "Rail-Forward-Key": key, "Rail-Forward-From": "front-2", "Rail-Forward-Team": "engravers", "Rail-Forward-Config": "7", "Rail-Forward-Attempts": "1"} {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	return resp.StatusCode, resp.Header.Get("Rail-Kind"), resp.Body.Close()
+}
+
+// A gateway serves requests that have the key of its registration, until it has ended what it accepted.
+func TestGatewayAcceptsForwardedRequests(t *testing.T) {
+	s := newSystem(t)
+	s.eventually("ready", s.ready)
+	s.eventually("registered", func() bool { return s.registrations(t.Context())["front-1"] != "" })
+	_, forwarding, _ := strings.Cut(s.registrations(t.Context())["front-1"], "\n")
+	address, key, _ := strings.Cut(forwarding, " ")
+	s.is.Equal(address, s.settings.ForwardAddress())
+	s.is.True(len(key) >= 20)
+	status, kind, err := s.forwardOrder(t.Context(), "r-1", "other")
+	s.is.NoErr(err)
+	s.is.Equal(status, http.StatusForbidden)
+	s.is.Equal(kind, "peerUnreachable")
+	done := make(chan string, 1)
+	s.daemon.group.Go(func(context.Context) {
+		status, kind, err := s.forwardOrder(context.Background(), "r-2", key) //nolint:contextcheck // The peer is not part of the daemon.
+		done <- fmt.Sprint(status, kind, err)
+	})
+	<-s.arrived
+	s.daemon.group.Go(func(context.Context) { s.daemon.shutdown() }) //nolint:contextcheck // A shutdown outlives the group's context.
+	s.eventually("not ready", func() bool { return !s.ready() })
+	s.eventually("the listener closed", func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	s.release <- struct{}{}
+	s.is.Equal(<-done, "200<nil>")
+	s.is.True(!strings.Contains(s.log.String(), key))
+}
