--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -85,7 +85,7 @@
 Bounds.QuotaWindowS=8
 Bounds.QuotaOver=0.1
 Bounds.QuotaSlack=%d
-`, name, zone, ip, p.frontAddress, p.readyAddress, peerPort, peerPort, p.storeProxy.address(), p.storeProxy.address(), int(shutdownGrace.Seconds()), retryRatio, retryExtra, quotaSlack)
+`, name, zone, ip, p.frontAddress, p.readyAddress, peerPort, peerPort+1, p.storeProxy.address(), p.storeProxy.address(), int(shutdownGrace.Seconds()), retryRatio, retryExtra, quotaSlack)
 	if err := os.WriteFile(p.settingsPath(), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
