--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -421,12 +421,13 @@
 	delete(s.calls, c)
 	return []Effect{report(rail.EventRequestServed, NewField("request", c.id), NewField("outcome", outcome), NewField("status", o.status), NewField("attempts", p.attempts),
 		NewField("upstream", p.target.id), NewField("route", p.route.name), NewField("team", p.teamName()), NewField("events", o.events),
-		NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()))}
+		NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()), NewField("connectionMs", c.connectionAge.Milliseconds()))}
 }
 
 // refuse ends a call with an error kind.
 func (s *State) refuse(c *Call, p *pendingCall, kind rail.Kind, wait time.Duration) []Effect {
-	fields := []Field{NewField("request", c.id), NewField("kind", string(kind)), NewField("retryMs", wait.Milliseconds()), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds())}
+	fields := []Field{NewField("request", c.id), NewField("kind", string(kind)), NewField("retryMs", wait.Milliseconds()), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()),
+		NewField("connectionMs", c.connectionAge.Milliseconds())}
 	if s.config != nil {
 		fields = append(fields, NewField("config", s.config.version))
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,8 @@
 	output   int64
 	parts    []PromptPart
 	resume   string
+	// connectionAge is how long the caller's connection had been open when the call arrived.
+	connectionAge time.Duration
 	// requestKeyCache is the key of the request, empty until it is needed.
 	requestKeyCache string
 	// forwarded is set if a peer forwarded the call.
@@ -98,6 +100,12 @@
 	return c
 }
 
+// WithConnectionAge returns the call with the time for which its caller's connection had been open when it arrived.
+func (c *Call) WithConnectionAge(d time.Duration) *Call {
+	c.connectionAge = d
+	return c
+}
+
 // ID returns the id that the caller gave the request.
 func (c *Call) ID() string { return c.id }
 
