Gateways that reach no upstream of a service forward its calls to peers

A request had one way only: its gateway, an upstream.

Its calls are forwarded to a peer, which makes one attempt; the gateway that has the caller keeps the limit, the usage, the retry budget and the attempts. Two upstreams that one call found unreachable lead to a forward, too. What failed attempts seem to tell of versions and of requests that crash upstreams is kept back under suspicion and dropped in a partition. Digests name the gateways that are partitioned from a service.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -31,6 +31,15 @@
 	promptCleared bool // The current attempt has gone on after its beginning.
 	retryReserved bool // The retry budget was spent already for the attempt after the current one.
 	version       versionKey
+	// peer is the name of the peer that makes the current attempt, empty if this gateway does.
+	peer string
+	// hops counts the forwards that reached no upstream, unreachable the upstreams that were not reached.
+	hops, unreachable int
+	// triedIDs are the ids of the upstreams that must not get the call again.
+	triedIDs []string
+	// forwarded reports whether a peer forwarded the call, which leaves attemptsLeft to this gateway.
+	forwarded    bool
+	attemptsLeft int
 	// expectedFirst is the expected time to the current attempt's first token, expectedStep that of each token after it.
 	expectedFirst, expectedStep time.Duration
 }
@@ -53,6 +62,9 @@
 	if s.config == nil || !s.upstreamsRead {
 		return s.refuse(c, nil, rail.KindNotReady, notReadyRetryAfter)
 	}
+	if c.forwarded != nil {
+		return s.forwardedArrived(c)
+	}
 	route := s.config.route(c.message.host, c.path)
 	if route == nil {
 		return s.refuse(c, nil, rail.KindUnknownRoute, 0)
@@ -67,10 +79,8 @@
 	if team != nil {
 		s.arrivals.add(team.name)
 	}
-	p := &pendingCall{route: route, team: team, deadline: c.deadline, tried: map[*target]bool{}, resume: c.resume}
-	if limit := c.arrived.Add(route.timeout); route.timeout > 0 && limit.Before(p.deadline) {
-		p.deadline = limit
-	}
+	p := &pendingCall{route: route, team: team, tried: map[*target]bool{}, resume: c.resume}
+	p.limitDeadline(c)
 	if wait, refused := s.quarantined(c, p.teamName()); refused {
 		return s.refuse(c, p, rail.KindQuarantined, wait)
 	}
@@ -82,6 +92,45 @@
 	}
 	s.demand += c.prompt
 	p.service = s.pickService(route, c)
+	if s.partitioned(p.service.name) {
+		return s.forwardFirst(c, p)
+	}
+	return s.place(c, p)
+}
+
+// limitDeadline sets the call's deadline: the caller's, or the end of the route's timeout if that is earlier.
+func (p *pendingCall) limitDeadline(c *Call) {
+	p.deadline = c.deadline
+	if limit := c.arrived.Add(p.route.timeout); p.route.timeout > 0 && limit.Before(p.deadline) {
+		p.deadline = limit
+	}
+}
+
+// forwardFirst forwards a call to a peer at once, or refuses it if there is none.
+func (s *State) forwardFirst(c *Call, p *pendingCall) []Effect {
+	peer, ok := s.choosePeer(c, p)
+	if x := s.partitions[p.service.name]; !ok && len(x.reached) > 0 {
+		return append(s.endPartition(p.service.name, x), s.place(c, p)...)
+	}
+	if !ok {
+		s.refund(p)
+		return s.refuse(c, p, rail.KindNoUpstream, noUpstreamRetryAfter)
+	}
+	s.accept(c, p)
+	return s.forward(c, p, peer)
+}
+
+// accept makes the call one in flight.
+func (s *State) accept(c *Call, p *pendingCall) {
+	s.calls[c] = p
+	s.quarantine.startTrials(c, p.teamName())
+	if !p.forwarded {
+		s.retryBudget(p.service.name).countFirst(s.uptime())
+	}
+}
+
+// place sends a call to an upstream, or refuses it if there is none.
+func (s *State) place(c *Call, p *pendingCall) []Effect {
 	t, wait := s.chooseUpstream(c, p)
 	if t == nil {
 		s.refund(p)
@@ -94,9 +143,7 @@
 		s.refund(p)
 		return s.refuse(c, p, rail.KindOverloaded, wait-left)
 	}
-	s.calls[c] = p
-	s.quarantine.startTrials(c, p.teamName())
-	s.retryBudget(p.service.name).countFirst(s.uptime())
+	s.accept(c, p)
 	return s.dispatch(c, p, t, wait)
 }
 
@@ -159,6 +206,7 @@
 // dispatch starts an attempt of the call at the upstream.
 func (s *State) dispatch(c *Call, p *pendingCall, t *target, wait time.Duration) []Effect {
 	p.attempts++
+	p.peer = ""
 	p.target, p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = t, false, false, false, s.now, s.now
 	p.tried[t] = true
 	t.limit.take()
@@ -217,7 +265,7 @@
 // failoverTimeout returns how long an attempt may take to answer before it is aborted if the call can go to another upstream;
 // zero means no such timeout.
 func (s *State) failoverTimeout(c *Call, p *pendingCall, wait time.Duration) time.Duration {
-	if p.possibleRuns+1 >= p.route.attempts {
+	if p.forwarded || p.runsLeft() <= 1 {
 		return 0 // No further attempt is allowed.
 	}
 	if !p.route.streaming && s.quarantine.suspectsRequest(c, p.teamName()) {
@@ -247,7 +295,10 @@
 	p.lastEventAt = s.now
 	if !p.gotFirstToken {
 		p.gotFirstToken, p.firstTokenAt = true, s.now
-		s.recordReachability(p.target, rail.KindNone, false)
+		if p.peer == "" {
+			s.recordReachability(p.target, rail.KindNone, false)
+			s.serviceReached(p.service.name)
+		}
 		waiting := Load{waitingTokens: p.load.waitingTokens}
 		p.load.waitingTokens = 0
 		p.target.ownLoad.subtract(waiting)
@@ -274,11 +325,15 @@
 	}
 	s.releaseLoad(p)
 	p.target.refusal.end(c, Outcome{kind: rail.KindCancelled}, s.now)
-	if !p.gotFirstToken {
+	var effects []Effect
+	if !p.gotFirstToken && p.peer == "" {
 		p.target.abandon(c.requestKey(p.teamName()), s.now)
+		if s.now.Sub(p.sentAt) >= minSilentWait {
+			effects = s.recordNotReached(p.service.name, p.target)
+		}
 	}
 	delete(s.calls, c)
-	return []Effect{report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", p.target.id), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()))}
+	return append(effects, report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", p.target.id), NewField("peer", p.peer), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds())))
 }
 
 // releaseLoad subtracts the attempt from the upstream's load.
@@ -295,18 +350,14 @@
 	}
 	t := p.target
 	s.releaseLoad(p)
-	t.refusal.end(c, o, s.now)
-	s.recordSpeed(p, o)
-	s.recordOutcome(p, o)
-	s.recordPromptOutcome(c, p, o)
+	effects := s.recordAttempt(c, p, o)
 	if o.kind == rail.KindNone {
 		if !p.route.streaming {
 			s.countUsage(p)
 		}
-		return s.finish(c, p, o, "served")
+		return append(effects, s.finish(c, p, o, "served")...)
 	}
-	var effects []Effect
-	effects = append(effects, report(rail.EventAttemptEnded, NewField("request", c.id), NewField("attempt", p.attempts), NewField("upstream", t.id),
+	effects = append(effects, report(rail.EventAttemptEnded, NewField("request", c.id), NewField("attempt", p.attempts), NewField("upstream", t.id), NewField("peer", p.peer), NewField("placement", o.placement),
 		NewField("kind", string(o.kind)), NewField("status", o.status), NewField("events", o.events), NewField("last", o.lastEventID),
 		NewField("tookMs", s.now.Sub(p.sentAt).Milliseconds()), NewField("parts", partIDs(shareableParts(c.parts))), NewField("key", c.requestKey(p.teamName())), NewField("brokenOff", o.brokenOff()), ErrorField(o.err)))
 	if o.lastEventID != "" {
@@ -314,8 +365,8 @@
 	}
 	notRun := o.kind.Reply().Run() == rail.NotRun
 	if notRun {
-		p.refusals++
-		if o.kind == rail.KindUpstreamReplaced {
+		p.countRefusal(o)
+		if o.kind == rail.KindUpstreamReplaced && p.peer == "" {
 			effects = append(effects, s.registry.markLeaving(t.start(), "upstream")...)
 		}
 	} else {
@@ -325,9 +376,9 @@
 		}
 	}
 	blockedFor, blocked := s.quarantined(c, p.teamName())
-	if !o.final && !blocked && s.mayRetry(p, notRun) && s.now.Add(deadlineMargin).Before(p.deadline) {
-		if next, wait := s.chooseUpstream(c, p); next != nil && (o.kind == rail.KindUpstreamUnreachable || s.spendRetry(p)) {
-			return append(effects, s.dispatch(c, p, next, wait)...)
+	if !o.final && !blocked && !p.forwarded && s.mayRetry(p, notRun) && s.now.Add(deadlineMargin).Before(p.deadline) {
+		if next := s.nextAttempt(c, p, o); next != nil {
+			return append(effects, next...)
 		}
 	}
 	if o.answered {
@@ -339,6 +390,9 @@
 			wait = left
 		}
 	}
+	if p.refusedByPeer(o) {
+		kind, wait = rail.KindUpstreamUnreachable, noUpstreamRetryAfter // What a peer's configuration lacks says nothing of this call.
+	}
 	if blocked {
 		kind, wait = rail.KindQuarantined, blockedFor
 	}
@@ -352,6 +406,65 @@
 	return append(effects, s.refuse(c, p, kind, wait)...)
 }
 
+// recordAttempt records what the outcome of an attempt tells of the upstream, or of the peer that made it.
+func (s *State) recordAttempt(c *Call, p *pendingCall, o Outcome) []Effect {
+	if p.peer != "" {
+		return s.recordHop(c, p, o)
+	}
+	p.target.refusal.end(c, o, s.now)
+	s.recordSpeed(p, o)
+	s.recordOwnOutcome(p, o)
+	if o.kind != rail.KindUpstreamUnreachable {
+		p.triedIDs = append(p.triedIDs, p.target.id)
+	}
+	ended, at, seen := *p, s.now, s.trueTime()
+	p.version = versionKey{}
+	return s.recordAttemptReach(p, o, func() {
+		s.recordVersionOutcome(ended, o, at)
+		s.recordPromptOutcome(c, ended, o, at, seen)
+	})
+}
+
+// countRefusal counts an attempt that did not run.
+func (p *pendingCall) countRefusal(o Outcome) {
+	if p.peer != "" && (o.placement == "" || o.kind == rail.KindUpstreamUnreachable) {
+		p.hops++
+		return
+	}
+	p.refusals++
+	if o.kind == rail.KindUpstreamUnreachable {
+		p.unreachable++
+	}
+}
+
+// nextAttempt starts another attempt of the call, at a peer if this gateway does not seem to reach the service; nil if none may be made.
+// An attempt that reached nothing costs none of the retry budget.
+func (s *State) nextAttempt(c *Call, p *pendingCall, o Outcome) []Effect {
+	free := o.kind == rail.KindUpstreamUnreachable || p.refusedByPeer(o)
+	cut := s.partitioned(p.service.name)
+	if cut || p.unreachable >= minUnreachable {
+		if peer, ok := s.choosePeer(c, p); ok {
+			if free || s.spendRetry(p) {
+				return s.forward(c, p, peer)
+			}
+			return nil
+		}
+	}
+	if cut {
+		return nil
+	}
+	if next, wait := s.chooseUpstream(c, p); next != nil {
+		if free || s.spendRetry(p) {
+			return s.dispatch(c, p, next, wait)
+		}
+		return nil
+	}
+	if peer, ok := s.choosePeer(c, p); ok && p.unreachable > 0 && free {
+		return s.forward(c, p, peer)
+	}
+	return nil
+}
+
 // countUsage adds the call to its team's usage, once.
 func (s *State) countUsage(p *pendingCall) {
 	if !p.usageCounted {
@@ -365,7 +478,7 @@
 // mayRetry reports whether the route and the attempts so far allow another attempt.
 func (s *State) mayRetry(p *pendingCall, notRun bool) bool {
 	if notRun {
-		return p.refusals < maxRefusals && p.possibleRuns < p.route.attempts
+		return p.refusals < maxRefusals && p.hops < maxForwards && p.possibleRuns < p.route.attempts
 	}
 	repeatable := p.route.repeat == Repeatable || p.route.mayResume()
 	return repeatable && p.possibleRuns < p.route.attempts
@@ -381,16 +494,28 @@
 	if p.retryReserved {
 		return true
 	}
+	if p.forwarded {
+		return false // The gateway that has the caller decides.
+	}
 	if _, blocked := s.quarantined(c, p.teamName()); blocked || !s.mayRetry(p, false) || !s.now.Add(deadlineMargin).Before(p.deadline) {
 		return false
 	}
-	if next, _ := s.chooseUpstream(c, p); next == nil || !suits(next) {
+	if !s.hasNext(c, p, suits) {
 		return false
 	}
 	p.retryReserved = s.spendRetry(p)
 	return p.retryReserved
 }
 
+// hasNext reports whether there is an upstream that suits, or another peer, for the next attempt of a call.
+func (s *State) hasNext(c *Call, p *pendingCall, suits func(*target) bool) bool {
+	if p.peer != "" || s.partitioned(p.service.name) {
+		return p.hops < maxForwards && slices.ContainsFunc(s.forwardPeers(p.service.name), func(name string) bool { return name != p.peer })
+	}
+	next, _ := s.chooseUpstream(c, p)
+	return next != nil && suits(next)
+}
+
 // acceptsMany reports whether the upstream may have room for several calls that are aborted at once.
 func acceptsMany(t *target) bool { return !t.limit.named && !t.refusal.probing }
 
@@ -403,14 +528,19 @@
 	return []Effect{Abort{call: c, kind: rail.KindUpstreamSilent}}
 }
 
-func (s *State) recordOutcome(p *pendingCall, o Outcome) {
-	kind := o.kind
+// upstreamKind returns the error kind as far as the upstream is to blame.
+func (o Outcome) upstreamKind() rail.Kind {
 	if o.answered && o.status < minServerErrorStatus {
-		kind = rail.KindNone
+		return rail.KindNone
 	}
+	return o.kind
+}
+
+// recordOwnOutcome records what only this gateway's choice of upstreams depends on.
+func (s *State) recordOwnOutcome(p *pendingCall, o Outcome) {
+	kind := o.upstreamKind()
 	p.target.health.record(kind, s.now)
 	s.recordReachability(p.target, kind, o.timedOut)
-	s.recordVersionOutcome(p, kind, o.brokenOff())
 }
 
 // minServerErrorStatus is the lowest HTTP status that counts as a failure of the upstream.
@@ -420,7 +550,7 @@
 func (s *State) finish(c *Call, p *pendingCall, o Outcome, outcome string) []Effect {
 	delete(s.calls, c)
 	return []Effect{report(rail.EventRequestServed, NewField("request", c.id), NewField("outcome", outcome), NewField("status", o.status), NewField("attempts", p.attempts),
-		NewField("upstream", p.target.id), NewField("route", p.route.name), NewField("team", p.teamName()), NewField("events", o.events),
+		NewField("upstream", p.target.id), NewField("peer", p.peer), NewField("placement", o.placement), NewField("route", p.route.name), NewField("team", p.teamName()), NewField("events", o.events),
 		NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()), NewField("connectionMs", c.connectionAge.Milliseconds()))}
 }
 
@@ -498,7 +628,7 @@
 			continue
 		}
 		a := activity[p.target]
-		if a == nil || s.now.Sub(a.last) < p.route.silenceTimeout() || !p.route.mayResume() || p.possibleRuns+1 >= p.route.attempts {
+		if a == nil || s.now.Sub(a.last) < p.route.silenceTimeout() || !p.route.mayResume() || p.runsLeft() <= 1 {
 			continue
 		}
 		if a.streams < minSilentStreams && !s.peersSilent(p.target.domain) {
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -88,7 +88,9 @@
 	suspects map[string]suspect
 	// limits are the request limits that upstreams named, by upstream.
 	limits map[string]limitNews
-	demand int64
+	// partitions are the names of the gateways that cannot reach the upstreams of a service, by service.
+	partitions map[string][]string
+	demand     int64
 	// domains are the failure domains of the gateways that the digest covers.
 	domains []string
 	// members are this gateway and those that it leads and received digests from recently; covers is the number of gateways that the digest covers.
@@ -134,6 +136,7 @@
 		return
 	}
 	d.covers += p.digest.covers
+	mergePartitions(d.partitions, p.digest.partitions)
 	d.recentRate, d.baselineRate = d.recentRate+p.digest.recentRate, d.baselineRate+p.digest.baselineRate
 	for _, domain := range p.digest.domains {
 		if !slices.Contains(d.domains, domain) {
@@ -188,6 +191,9 @@
 	for id, n := range d.limits {
 		m.Limits = append(m.Limits, &railv1.UpstreamLimit{Upstream: id, StartedAtMs: n.startedAtMs, Named: n.named, PerSecond: n.perSecond, AtMs: n.at.UnixMilli()})
 	}
+	for service, names := range d.partitions {
+		m.Partitions = append(m.Partitions, &railv1.ServicePartition{Service: service, Gateways: names})
+	}
 	for key, x := range d.suspects {
 		m.Suspects = append(m.Suspects, x.message(key))
 	}
@@ -199,7 +205,7 @@
 	d := Digest{
 		gateway: m.GetGateway(), incarnation: m.GetIncarnation(), sequence: m.GetSequence(), wall: time.UnixMilli(m.GetWallMs()), storeUnavailable: m.GetStoreAway(),
 		loads: make(map[string]Load, len(m.GetLoads())), admitted: make(map[string]buckets, len(m.GetAdmitted())), usage: usage{}, ends: make(map[upstreamStart]time.Time, len(m.GetEnds())),
-		versions: map[versionKey]tally{}, speeds: make(map[speedKey]speed, len(m.GetSpeeds())), verdicts: verdicts{}, suspects: make(map[string]suspect, len(m.GetSuspects())), limits: make(map[string]limitNews, len(m.GetLimits())), demand: m.GetDemandTokens(), recentRate: m.GetLatestArrivals(), baselineRate: m.GetUsualArrivals(), domains: m.GetDomains(), members: m.GetMembers(), covers: int(m.GetCovers()), full: m.GetWhole(), notReady: m.GetIdle(), fence: m.GetFence(),
+		versions: map[versionKey]tally{}, speeds: make(map[speedKey]speed, len(m.GetSpeeds())), verdicts: verdicts{}, suspects: make(map[string]suspect, len(m.GetSuspects())), partitions: make(map[string][]string, len(m.GetPartitions())), limits: make(map[string]limitNews, len(m.GetLimits())), demand: m.GetDemandTokens(), recentRate: m.GetLatestArrivals(), baselineRate: m.GetUsualArrivals(), domains: m.GetDomains(), members: m.GetMembers(), covers: int(m.GetCovers()), full: m.GetWhole(), notReady: m.GetIdle(), fence: m.GetFence(),
 	}
 	for _, x := range m.GetLeavingStarts() {
 		d.leaving = append(d.leaving, upstreamStart{x.GetUpstream(), x.GetStartedAtMs()})
@@ -236,6 +242,9 @@
 		limit := RequestLimit{perSecond: x.GetPerSecond(), named: x.GetNamed()}
 		d.limits[x.GetUpstream()] = limitNews{RequestLimit: limit, startedAtMs: x.GetStartedAtMs(), at: time.UnixMilli(x.GetAtMs())}
 	}
+	for _, x := range m.GetPartitions() {
+		d.partitions[x.GetService()] = x.GetGateways()
+	}
 	for _, x := range m.GetSuspects() {
 		d.suspects[x.GetPart()] = suspectFrom(x)
 	}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -169,6 +169,10 @@
 	// final reports whether the caller has a part of an answer that no other attempt can complete.
 	final bool
 	err   error
+	// refused reports whether the upstream itself rejected the request.
+	refused bool
+	// headRead reports whether the head of an answer was read.
+	headRead bool
 	// placement is the id of the upstream that a peer sent the call to, empty if it sent it to none.
 	placement string
 }
--- a/gateway/forwardfleet_test.go
+++ b/gateway/forwardfleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,6 +43,7 @@
 	connectionsRefused cutForm = iota
 	dialsTimeOut
 	connectionsHang
+	connectionsBreak
 )
 
 const forwardKey = "access"
@@ -147,12 +150,20 @@
 		f.after(time.Millisecond, func() { end(refused) })
 	case cut && f.how == dialsTimeOut:
 		f.after(300*time.Millisecond, func() { end(Outcome{kind: rail.KindUpstreamUnreachable, timedOut: true}) })
+	case cut && f.how == connectionsBreak:
+		f.after(20*time.Millisecond, func() {
+			end(Outcome{kind: rail.KindUpstreamFailed, err: rail.WrapError(io.ErrUnexpectedEOF, rail.KindUpstreamFailed, "no answer")})
+		})
 	case cut:
-		kind, wait := rail.KindDeadlinePassed, e.deadline.Sub(f.now)+answerGrace
-		if e.failoverTimeout > 0 && e.failoverTimeout < wait {
-			kind, wait = rail.KindUpstreamSilent, e.failoverTimeout
+		done := false
+		finish := func(kind rail.Kind) {
+			if !done {
+				done = true
+				end(Outcome{kind: kind, timedOut: true})
+			}
 		}
-		f.after(wait, func() { end(Outcome{kind: kind, timedOut: true}) })
+		f.after(e.deadline.Sub(f.now)+answerGrace, func() { finish(rail.KindDeadlinePassed) })
+		f.failOver(name, e, func() bool { return done }, func() { finish(rail.KindUpstreamSilent) })
 	default:
 		f.arrivals++
 		f.runs[e.call.id]++
@@ -160,6 +171,27 @@
 	}
 }
 
+// failOver plays the failover timeout of an attempt.
+func (f *forwardFleet) failOver(name string, e Send, done func() bool, abort func()) {
+	if e.failoverTimeout <= 0 {
+		return
+	}
+	var check func()
+	check = func() {
+		if done() || f.dead[name] {
+			return
+		}
+		effects := f.states[name].Reduce(f.now, FailoverDue{call: e.call})
+		f.probe(name, effects)
+		if len(aborts(effects)) > 0 {
+			abort()
+			return
+		}
+		f.after(failoverInterval, check)
+	}
+	f.after(e.failoverTimeout, check)
+}
+
 // forward lets a peer make an attempt of the call.
 func (f *forwardFleet) forward(x *simulatedCall, e Send, forward Forward, end func(Outcome)) {
 	peer, done := forward.Peer(), false
@@ -174,14 +206,10 @@
 			f.after(time.Millisecond, func() { end(o) })
 		}
 	}
-	if e.failoverTimeout > 0 {
-		f.after(e.failoverTimeout, func() {
-			if !done {
-				f.reduce(peer, CallerDisconnected{call: c})
-				finish(Outcome{kind: rail.KindUpstreamSilent, timedOut: true})
-			}
-		})
-	}
+	f.failOver(x.gateway, e, func() bool { return done }, func() {
+		f.reduce(peer, CallerDisconnected{call: c})
+		finish(Outcome{kind: rail.KindUpstreamSilent, timedOut: true})
+	})
 	f.forwarded[peer]++
 	f.after(time.Millisecond, func() {
 		upstreamID := ""
@@ -271,7 +299,7 @@
 			{"one gateway", func(i int, _ string) bool { return i == 1 }},
 			{"a domain", func(_ int, domain string) bool { return domain == "domain-1" }},
 		} {
-			for how, name := range []string{"refused", "dials time out", "hang"} {
+			for how, name := range []string{"refused", "dials time out", "hang", "break"} {
 				t.Run(fmt.Sprintf("%d gateways, %s, %s", size.gateways, c.name, name), func(t *testing.T) {
 					t.Parallel()
 					is := is.New(t)
@@ -298,3 +326,247 @@
 		}
 	}
 }
+
+// partition partitions the gateways from the upstreams.
+func (f *forwardFleet) partition(how cutForm, cut func(i int, domain string) bool) map[string]bool {
+	names := map[string]bool{}
+	for i, name := range f.names {
+		names[name] = cut(i, f.states[name].settings.domain)
+	}
+	f.how, f.cut = how, func(s *State, _ Upstream) bool { return names[s.settings.name] }
+	return names
+}
+
+func (f *forwardFleet) heal() { f.cut = func(*State, Upstream) bool { return false } }
+
+func oddName(name string) bool { return name[len(name)-1]%2 == 1 }
+
+func inDomain1(_ int, domain string) bool { return domain == "domain-1" }
+
+// Guards against calls that are forwarded, or refused, by gateways that reach upstreams of the service.
+func TestPartialPartitionsAreNone(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  func(s *State, u Upstream) bool
+	}{
+		{"a domain of upstreams", func(s *State, u Upstream) bool { return u.domain == "domain-2" && s.settings.domain != "domain-2" }},
+		{"the own domain's upstreams", func(s *State, u Upstream) bool { return u.domain == s.settings.domain && u.domain == "domain-1" }},
+		{"half of the upstreams from half of the gateways", func(s *State, u Upstream) bool { return oddName(s.settings.name) && oddName(u.id) }},
+		{"all but three of the upstreams from all gateways", func(_ *State, u Upstream) bool {
+			return !slices.Contains([]string{"engine-0", "engine-6", "engine-9"}, u.id)
+		}},
+	} {
+		for how := range connectionsBreak {
+			t.Run(fmt.Sprintf("%s, form %d", c.name, how), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newForwardFleet(6, 3, 12, 2)
+				f.play(2*time.Second, 25)
+				f.how, f.cut = how, c.cut
+				begin := f.now
+				f.play(8*time.Second, 25)
+				_, served := f.servedShares(begin.Add(contactTime), func(string) bool { return false })
+				refused := map[rail.Kind]int{}
+				for _, x := range f.calls {
+					refused[x.refused]++
+				}
+				t.Logf("refused %v; served %.3f; %d partitions, forwards %v, %d probes", refused, served, f.reports[rail.EventPartitionBegan], f.forwarded, f.probeCount())
+				is.True(served >= 0.95)
+				is.True(f.reports[rail.EventPartitionBegan] <= 2)
+			})
+		}
+	}
+}
+
+func (f *forwardFleet) probeCount() int {
+	n := 0
+	for _, k := range f.probes {
+		n += k
+	}
+	return n
+}
+
+// Guards against callers that wait, or calls that go round, while no gateway reaches an upstream, and against refusals that go on
+// after that.
+func TestAllGatewaysPartitionedRefuseAtOnce(t *testing.T) {
+	for _, size := range forwardFleetSizes {
+		for how := range connectionsBreak + 1 {
+			t.Run(fmt.Sprintf("%d gateways, form %d", size.gateways, how), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newForwardFleet(size.gateways, size.domains, size.upstreams, 3)
+				f.play(2*time.Second, size.perSecond)
+				f.partition(how, func(int, string) bool { return true })
+				f.play(8*time.Second, size.perSecond)
+				begin, n := f.now, len(f.calls)
+				f.play(2*time.Second, size.perSecond)
+				for _, x := range f.calls[n:] {
+					is.Equal(x.refused.Reply().Run(), rail.NotRun) // Without an attempt that waits.
+					is.True(x.retryAfter > 0)
+					is.Equal(f.runs[x.call.id], 0)
+				}
+				f.heal()
+				healed := f.now
+				f.play(5*time.Second, size.perSecond)
+				_, served := f.servedShares(healed.Add(2*time.Second), func(string) bool { return false })
+				t.Logf("%.1f probes a second at each gateway; served %.3f afterwards", float64(f.probeCount())/f.now.Sub(begin).Seconds()/float64(size.gateways), served)
+				is.True(served > 0.99)
+			})
+		}
+	}
+}
+
+// Guards against forwards that are charged to teams, counted as usage or retried at both gateways.
+func TestForwardedCallsAreCountedOnce(t *testing.T) {
+	for how := range connectionsBreak + 1 {
+		t.Run(fmt.Sprintf("form %d", how), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newForwardFleet(6, 3, 6, 4)
+			f.play(2*time.Second, 25)
+			f.partition(how, inDomain1)
+			f.play(4*time.Second, 25)
+			f.heal()
+			f.play(4*time.Second, 25)
+			f.engineFleet.play(2*time.Second, load{})
+			var usage, ran int64
+			for _, name := range f.names {
+				for _, counts := range f.states[name].usage {
+					usage += counts["engravers"]
+				}
+				for c := range f.states[name].calls {
+					t.Errorf("call %s is still in flight at %s", c.id, name)
+				}
+				for _, u := range f.states[name].registry.targets {
+					is.Equal(u.ownLoad, Load{})
+				}
+			}
+			notRun := 0
+			for _, x := range f.calls {
+				switch {
+				case f.runs[x.call.id] > 0:
+					ran++
+					is.True(x.refused == "" || x.refused.Reply().Run() != rail.NotRun)
+				case x.refused == "" || x.refused.Reply().Run() != rail.NotRun:
+					notRun++ // It may have run, as far as the gateway knows.
+				}
+			}
+			t.Logf("%d runs, usage %d, %d that may have run; %d arrivals of %d requests", ran, usage, notRun, f.arrivals, len(f.calls))
+			is.True(usage >= ran)
+			is.True(usage <= ran+int64(notRun))
+			is.True(float64(f.arrivals-len(f.calls)) <= 0.2*float64(len(f.calls))+52)
+			orders, lookups := f.ordersRunTwice()
+			is.Equal(orders, 0)
+			is.Equal(lookups, 0)
+			is.Equal(f.secondHops, 0)
+		})
+	}
+}
+
+// Guards against teams that use more than their limit by way of gateways that forward (QUOTA).
+func TestLimitHoldsForForwardedCalls(t *testing.T) {
+	is := is.New(t)
+	f := newForwardFleet(6, 3, 6, 5)
+	team := NewTeam("engravers", 1, []string{"key-1"}).WithLimit(60, 60, false, 0)
+	for _, name := range f.names {
+		f.states[name].settings = f.states[name].settings.WithSlack(NewSlack(quotaWindow, 0.1, 10))
+		f.states[name].Reduce(f.now, NewConfigRead(testConfig(4, team), "store"))
+	}
+	f.play(10*time.Second, 25)
+	f.partition(connectionsRefused, inDomain1)
+	n := f.arrivals
+	f.play(quotaWindow, 25)
+	allowed := (60*quotaWindow.Seconds()+60)*1.1 + 10
+	t.Logf("%d arrivals, %.0f allowed", f.arrivals-n, allowed)
+	is.True(float64(f.arrivals-n) <= allowed)
+	is.True(float64(f.arrivals-n) >= 0.8*60*quotaWindow.Seconds())
+}
+
+// Guards against orders that run twice, or are reported as not run, when the peers that they were forwarded to end.
+func TestOrdersOfPeersThatEndRunOnce(t *testing.T) {
+	is := is.New(t)
+	f := newForwardFleet(6, 3, 6, 6)
+	f.play(2*time.Second, 25)
+	cut := f.partition(connectionsRefused, inDomain1)
+	f.play(2*time.Second, 25)
+	for i, name := range f.names {
+		if !cut[name] && i%2 == 0 {
+			f.dead[name], f.down[name] = true, true
+		}
+	}
+	f.play(4*time.Second, 25)
+	ran, failed := 0, 0
+	for _, x := range f.calls {
+		if f.runs[x.call.id] > 0 && !f.dead[x.gateway] {
+			ran++
+			is.True(x.refused == "" || x.refused.Reply().Run() != rail.NotRun)
+		}
+		if x.refused != "" {
+			failed++
+		}
+	}
+	orders, _ := f.ordersRunTwice()
+	is.Equal(orders, 0)
+	t.Logf("%d ran, %d of %d failed", ran, failed, len(f.calls))
+	is.True(failed < len(f.calls)/20)
+}
+
+// Guards against a sound version that is taken back because gateways are partitioned from its upstreams.
+func TestPartitionedGatewaysTakeNoVersionBack(t *testing.T) {
+	for how := range connectionsBreak + 1 {
+		t.Run(fmt.Sprintf("form %d", how), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newForwardFleet(6, 3, 12, 7)
+			for _, name := range f.names {
+				var changes []UpstreamChange
+				for i := range 12 {
+					u := &f.engines["engine-"+strconv.Itoa(i)].upstream
+					*u = u.WithVersion("v" + strconv.Itoa(1+i%2))
+					changes = append(changes, UpstreamSet(*u))
+				}
+				f.states[name].Reduce(f.now, NewUpstreamsRead(changes, true, "store"))
+				f.states[name].Reduce(f.now, NewRolloutRead(NewRolloutOrder("desk", "v2", 14*time.Second, RolloutRunning)))
+			}
+			f.play(4*time.Second, 25)
+			f.partition(how, inDomain1)
+			f.play(9*time.Second, 25)
+			for _, name := range f.names {
+				is.True(!f.states[name].rollouts["desk"].bad)
+				is.Equal(len(f.states[name].quarantine.blocked), 0)
+			}
+		})
+	}
+}
+
+// Guards against forwards that crowd a few peers, and against gateways that ask upstreams all the time.
+func TestForwardsSpreadOverPeers(t *testing.T) {
+	for _, size := range forwardFleetSizes {
+		t.Run(strconv.Itoa(size.gateways), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newForwardFleet(size.gateways, size.domains, size.upstreams, 8)
+			f.play(2*time.Second, size.perSecond)
+			cut := f.partition(connectionsRefused, inDomain1)
+			f.play(contactTime, size.perSecond)
+			clear(f.forwarded)
+			clear(f.probes)
+			const length = 6 * time.Second
+			f.play(length, 4*size.perSecond)
+			total, most := 0, 0
+			for _, n := range f.forwarded {
+				total, most = total+n, max(most, n)
+			}
+			gateways := 0
+			for _, isCut := range cut {
+				if isCut {
+					gateways++
+				}
+			}
+			mean := float64(total) / float64(size.gateways-gateways)
+			t.Logf("%d forwards, at most %d at a peer, %.1f on average; %.2f probes a second at each partitioned gateway", total, most, mean, float64(f.probeCount())/length.Seconds()/float64(gateways))
+			is.True(float64(most) <= mean+5*math.Sqrt(mean)) // Five standard deviations of a random spread.
+			is.True(float64(f.probeCount()) <= 2.2*length.Seconds()*float64(gateways))
+		})
+	}
+}
--- /dev/null
+++ b/gateway/hop.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"dandelionrail.org/rail"
+)
+
+const (
+	// maxForwards bounds the forwards of one call that reached no upstream.
+	maxForwards = 3
+	// peerEjection is how long a peer gets no forwards after it refused one or was not reached.
+	peerEjection = time.Second
+	// minUnreachable is the number of upstreams that a call must have found unreachable before it is forwarded.
+	minUnreachable = 2
+	// hopGoals and hopMargin are added to the time that a peer waits for an upstream: the peer decides first.
+	hopGoals  = 1
+	hopMargin = 200 * time.Millisecond
+)
+
+// hop returns what stands for the peer in attempts that it makes; it is in no list of upstreams.
+func (s *State) hop(peer string, r Registration) *target {
+	t, ok := s.hops[peer]
+	if !ok || t.address != r.forwardAddress {
+		t = &target{Upstream: NewUpstream("", "", r.forwardAddress, r.domain, 0), cache: newCache()}
+		s.hops[peer] = t
+	}
+	return t
+}
+
+// forwardPeers returns the names of the peers that accept forwarded calls and may reach the service, in order.
+func (s *State) forwardPeers(service string) []string {
+	var names []string
+	for name, r := range s.registrations.byName {
+		if r.forwardAddress == "" || s.partitionedPeers[service][name] || !s.peerAlive(name, r) {
+			continue
+		}
+		if t, ok := s.hops[name]; ok && t.address == r.forwardAddress && !t.health.available(s.now) {
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// peerAlive reports whether the digests say that the peer runs and is ready. In cells they say it of domains, and of some peers.
+func (s *State) peerAlive(name string, r Registration) bool {
+	if p, ok := s.peers[name]; ok {
+		return s.now.Sub(p.receivedAt) < peerTimeout && (p.digest.full || !p.digest.notReady)
+	}
+	receivedAt, known := s.domainDigestAt[r.domain]
+	return s.cells != nil && known && s.now.Sub(receivedAt) < domainTimeout
+}
+
+// choosePeer selects a peer for the call, false if there is none. Those of this gateway's domain come first unless one of them has
+// refused or was not reached lately.
+func (s *State) choosePeer(c *Call, p *pendingCall) (string, bool) {
+	if p.hops >= maxForwards {
+		return "", false
+	}
+	candidates := s.forwardPeers(p.service.name)
+	near := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool { return s.registrations.byName[name].domain != s.settings.domain })
+	if len(near) > 0 && !s.nearPeersFail() {
+		candidates = near
+	}
+	best := ""
+	for _, name := range candidates {
+		if best == "" || hashWeight(c.id, name) > hashWeight(c.id, best) {
+			best = name
+		}
+	}
+	return best, best != ""
+}
+
+// nearPeersFail reports whether a peer of this gateway's domain is ejected.
+func (s *State) nearPeersFail() bool {
+	for name, t := range s.hops {
+		if t.domain == s.settings.domain && !t.health.available(s.now) && s.registrations.byName[name].forwardAddress == t.address {
+			return true
+		}
+	}
+	return false
+}
+
+// forward lets the peer make the next attempt of the call.
+func (s *State) forward(c *Call, p *pendingCall, peer string) []Effect {
+	r := s.registrations.byName[peer]
+	p.attempts++
+	p.target, p.peer, p.version = s.hop(peer, r), peer, versionKey{}
+	p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = false, false, false, s.now, s.now
+	p.load = Load{running: 1}
+	p.target.ownLoad.add(p.load)
+	return []Effect{
+		report(rail.EventAttemptSent, NewField("request", c.id), NewField("attempt", p.attempts), NewField("route", p.route.name), NewField("team", p.teamName()),
+			NewField("peer", peer), NewField("domain", r.domain), NewField("running", p.target.ownLoad.running),
+			NewField("config", s.config.version), NewField("leftMs", p.deadline.Sub(s.now).Milliseconds()), NewField("resume", p.resume)),
+		Send{
+			call: c, upstream: p.target.Upstream, route: p.route, team: p.teamName(), attempt: p.attempts, priority: p.priority(), resume: p.resume, deadline: p.deadline,
+			failoverTimeout: s.hopTimeout(c, p),
+			forward:         &Forward{peer: peer, address: r.forwardAddress, key: r.accessKey, team: p.teamName(), configVersion: s.config.version, tried: slices.Clone(p.triedIDs), attemptsLeft: p.runsLeft()},
+		},
+	}
+}
+
+// hopTimeout returns how long a forward may take to be answered; zero means no such timeout.
+func (s *State) hopTimeout(c *Call, p *pendingCall) time.Duration {
+	wait := s.failoverTimeout(c, p, 0)
+	if wait == 0 {
+		return 0
+	}
+	return wait + hopGoals*p.route.goal + hopMargin
+}
+
+// runsLeft returns how many attempts may still run.
+func (p *pendingCall) runsLeft() int {
+	if p.forwarded {
+		return p.attemptsLeft
+	}
+	return p.route.attempts - p.possibleRuns
+}
+
+// refusedByPeer reports whether the attempt was a forward that reached no upstream.
+func (p *pendingCall) refusedByPeer(o Outcome) bool {
+	return p.peer != "" && o.placement == "" && o.kind.Reply().Run() == rail.NotRun
+}
+
+// recordHop records what the outcome of a forward tells of the peer; what it tells of the upstream is recorded there.
+func (s *State) recordHop(c *Call, p *pendingCall, o Outcome) []Effect {
+	unreached := o.kind == rail.KindUpstreamUnreachable
+	if o.placement != "" && !unreached {
+		p.triedIDs = append(p.triedIDs, o.placement)
+		if t, ok := s.registry.targets[o.placement]; ok {
+			p.tried[t] = true
+		}
+	}
+	broken := o.kind == rail.KindUpstreamFailed && o.placement == ""
+	if refused := p.refusedByPeer(o); refused || unreached || broken || o.kind == rail.KindUpstreamSilent {
+		p.target.health.ejectedUntil = s.now.Add(peerEjection)
+		if refused {
+			return []Effect{report(rail.EventForwardRefused, NewField("request", c.id), NewField("peer", p.peer), NewField("kind", string(o.kind)))}
+		}
+	}
+	return nil
+}
+
+// forwardedArrived decides to which upstream a call that a peer forwarded is sent. The peer has charged it to its team and counts it.
+func (s *State) forwardedArrived(c *Call) []Effect {
+	f := *c.forwarded
+	switch {
+	case s.leaving:
+		return s.refuse(c, nil, rail.KindLeaving, 0)
+	case f.configVersion > s.config.version:
+		return s.refuse(c, nil, rail.KindNotReady, notReadyRetryAfter)
+	}
+	route := s.config.route(c.message.host, c.path)
+	if route == nil {
+		return s.refuse(c, nil, rail.KindUnknownRoute, 0)
+	}
+	team := s.config.teams[f.team]
+	if team == nil && (f.team != "" || (len(s.config.teams) > 0 && !route.public)) {
+		return s.refuse(c, nil, rail.KindUnknownTeam, 0)
+	}
+	p := &pendingCall{route: route, team: team, forwarded: true, attemptsLeft: f.attemptsLeft, triedIDs: f.tried, usageCounted: true, tried: map[*target]bool{}, resume: c.resume}
+	p.limitDeadline(c)
+	if wait, refused := s.quarantined(c, p.teamName()); refused {
+		return s.refuse(c, p, rail.KindQuarantined, wait)
+	}
+	p.service = s.pickService(route, c)
+	if s.partitioned(p.service.name) {
+		return s.refuse(c, p, rail.KindNoUpstream, noUpstreamRetryAfter)
+	}
+	for _, id := range f.tried {
+		if t, ok := s.registry.targets[id]; ok {
+			p.tried[t] = true
+		}
+	}
+	return s.place(c, p)
+}
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -107,7 +107,7 @@
 // noticeRead applies what an answer to the call's current attempt says of its upstream.
 func (s *State) noticeRead(c *Call, n Notice) []Effect {
 	p, ok := s.calls[c]
-	if !ok {
+	if !ok || p.peer != "" {
 		return nil
 	}
 	t := p.target
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -435,22 +435,22 @@
 }
 
 // recordPromptOutcome records what an attempt tells about the call and the parts of its prompt. An answer that ended with its
-// connection may have been broken off.
-func (s *State) recordPromptOutcome(c *Call, p *pendingCall, o Outcome) {
+// connection may have been broken off. The attempt ended at the time, seen is the true one.
+func (s *State) recordPromptOutcome(c *Call, p pendingCall, o Outcome, at, seen time.Time) {
 	switch {
 	case o.answered && !o.endedWithConnection && o.kind.Reply().Run() != rail.NotRun:
-		s.quarantine.recordRequestAnswer(c, p.teamName(), s.trueTime())
+		s.quarantine.recordRequestAnswer(c, p.teamName(), seen)
 		if o.kind == rail.KindNone {
-			s.quarantine.recordAnswer(c.parts, s.trueTime())
+			s.quarantine.recordAnswer(c.parts, seen)
 		}
-	case o.brokenOff() && (!p.gotFirstToken || s.now.Sub(p.firstTokenAt) < answerBeginning):
+	case o.brokenOff() && (!p.gotFirstToken || at.Sub(p.firstTokenAt) < answerBeginning):
 		crashed := p.target.start()
-		s.quarantine.recordCrash(c.parts, crashed, s.trueTime())
-		s.quarantine.recordRequestCrash(c.requestKey(p.teamName()), crashed, s.trueTime())
-		s.recordEnd(p.target, s.trueTime())
+		s.quarantine.recordCrash(c.parts, crashed, seen)
+		s.quarantine.recordRequestCrash(c.requestKey(p.teamName()), crashed, seen)
+		s.recordEnd(p.target, seen)
 	case o.brokenOff(), errors.Is(o.err, syscall.ECONNREFUSED):
-		s.recordEnd(p.target, s.trueTime())
+		s.recordEnd(p.target, seen)
 	case !p.gotFirstToken && (o.kind == rail.KindUpstreamSilent || o.kind == rail.KindDeadlinePassed):
-		p.target.abandon(c.requestKey(p.teamName()), s.now)
+		p.target.abandon(c.requestKey(p.teamName()), at)
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -136,7 +136,7 @@
 		forward = r.forwardStream
 	}
 	o := forward(ctx, answer, stopTimer)
-	o.endedWithConnection, o.placement = answer.endsWithConnection, answer.placement
+	o.endedWithConnection, o.placement, o.headRead = answer.endsWithConnection, answer.placement, true
 	return o
 }
 
@@ -159,6 +159,8 @@
 	var timeout interface{ Timeout() bool }
 	timedOut := kind == rail.KindUpstreamSilent || (errors.As(err, &timeout) && timeout.Timeout())
 	o := Outcome{kind: kind, err: err, events: r.events.delivered, lastEventID: r.events.lastEventID, timedOut: timedOut, final: r.final()}
+	var said *NoticeError
+	o.refused = errors.As(err, &said) && said.notice.answered
 	var placed *PlacementError
 	if errors.As(err, &placed) {
 		o.placement = placed.upstreamID
--- a/gateway/requestlimit.go
+++ b/gateway/requestlimit.go
@@ -162,7 +162,7 @@
 // limitRead records the limit that the answer to the call's current attempt named.
 func (s *State) limitRead(c *Call, limit RequestLimit) []Effect {
 	p, ok := s.calls[c]
-	if !ok {
+	if !ok || p.peer != "" {
 		return nil
 	}
 	return s.applyLimitNews(p.target, limitNews{RequestLimit: limit, startedAtMs: p.target.startedAtMs, at: s.trueTime().Truncate(time.Millisecond)}, "upstream")
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -388,23 +388,24 @@
 	}
 }
 
-func (s *State) recordVersionOutcome(p *pendingCall, kind rail.Kind, brokenOff bool) {
+// recordVersionOutcome records the outcome of an attempt that ended at the time for the upstream's version.
+func (s *State) recordVersionOutcome(p pendingCall, o Outcome, at time.Time) {
 	if p.version.service == "" {
 		return
 	}
+	kind := o.upstreamKind()
 	v := s.versions[p.version]
 	switch {
 	case kind == rail.KindCancelled:
-	case kind == rail.KindNone && s.now.Sub(p.sentAt) < slowFactor*max(p.route.goal, time.Millisecond):
+	case kind == rail.KindNone && at.Sub(p.sentAt) < slowFactor*max(p.route.goal, time.Millisecond):
 		v.good++
 	case kind.Reply().Run() == rail.NotRun:
-	case brokenOff:
+	case o.brokenOff():
 		v.brokenOff++
 	default:
 		v.bad++
 	}
 	s.versions[p.version] = v
-	p.version = versionKey{}
 }
 
 // slowFactor is the multiple of its goal that an answer may take and still count as good.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -40,7 +40,12 @@
 	reachability map[string]*reachability
 	quarantine   *quarantine
 	// ends holds when upstreams were seen to have ended lately.
-	ends          map[upstreamStart]time.Time
+	ends map[upstreamStart]time.Time
+	// partitions are those of this gateway by service, partitionedPeers those of others by service and name.
+	partitions       map[string]*partition
+	partitionedPeers map[string]map[string]bool
+	// hops stand for the peers in attempts that they make.
+	hops          map[string]*target
 	demand        int64
 	fence         int64
 	sequence      int64
@@ -57,7 +62,7 @@
 	return &State{
 		settings: s, now: s.startedAt, registry: newRegistry(), clock: newClock(s.startedAt), quotas: map[string]*quota{},
 		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, peers: map[string]*peer{}, registrations: newRegistrations(),
-		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, rollouts: map[string]*rollout{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), ends: map[upstreamStart]time.Time{}, arrivals: newArrivals(s.startedAt),
+		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, rollouts: map[string]*rollout{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), ends: map[upstreamStart]time.Time{}, partitions: map[string]*partition{}, partitionedPeers: map[string]map[string]bool{}, hops: map[string]*target{}, arrivals: newArrivals(s.startedAt),
 	}
 }
 
@@ -79,6 +84,8 @@
 		return s.attemptEnded(e.call, e.outcome)
 	case FailoverDue:
 		return s.failOver(e.call)
+	case ProbeEnded:
+		return s.probeEnded(e)
 	case CallerDisconnected:
 		return s.callerDisconnected(e.call)
 	case Ticked:
@@ -176,6 +183,7 @@
 	}
 	effects = append(effects, s.tickRollouts()...)
 	s.forgetEnds()
+	effects = append(effects, s.tickPartitions()...)
 	effects = append(effects, s.quarantine.tick(s.trueTime())...)
 	return append(effects, s.abortSilent()...)
 }
@@ -287,7 +295,7 @@
 		sequence: s.sequence, gateway: s.settings.name, incarnation: s.settings.incarnation, wall: now, storeUnavailable: s.registry.storeUnavailable,
 		loads: map[string]Load{}, admitted: map[string]buckets{}, usage: usage{}, demand: s.demand, notReady: !s.Ready(), fence: s.fence,
 		versions: make(map[versionKey]tally, len(s.versions)), verdicts: s.knownVerdicts(), domains: []string{s.settings.domain}, members: []string{s.settings.name}, covers: 1,
-		speeds: s.currentSpeeds(), ends: maps.Clone(s.ends), suspects: s.quarantine.news(s.clock.now(now)), limits: s.limitDigest(),
+		speeds: s.currentSpeeds(), ends: maps.Clone(s.ends), suspects: s.quarantine.news(s.clock.now(now)), limits: s.limitDigest(), partitions: s.ownPartitions(),
 	}
 	d.recentRate, d.baselineRate = s.arrivals.ratesWithoutTopTeam()
 	for id, t := range s.registry.targets {
--- a/gateway/versionspeed.go
+++ b/gateway/versionspeed.go
@@ -117,7 +117,7 @@
 		return current
 	}
 	for c, p := range s.calls {
-		if !p.tellsSpeed() || !p.service.isEngine() {
+		if !p.tellsSpeed() || !p.service.isEngine() || s.suspectsPartition(p.service.name) {
 			continue
 		}
 		if ratio := s.speedRatio(p, c.output); ratio >= lateRatio {
--- a/number.go
+++ b/number.go
@@ -96,6 +96,9 @@
 	EventRequestReleased      EventNumber = 1243
 	EventUpstreamRefusal      EventNumber = 1244
 	EventRequestPanicked      EventNumber = 1245
+	EventPartitionBegan       EventNumber = 1246
+	EventPartitionEnded       EventNumber = 1247
+	EventForwardRefused       EventNumber = 1248
 	EventDutyAcquired         EventNumber = 1250
 	EventDutyLost             EventNumber = 1251
 	EventUsageReported        EventNumber = 1252
@@ -179,6 +182,9 @@
 	EventRequestReleased:      "request released",
 	EventUpstreamRefusal:      "upstream wants no requests for a time",
 	EventRequestPanicked:      "request caused a panic",
+	EventPartitionBegan:       "upstreams of a service are unreachable from this gateway; its calls are forwarded to peers",
+	EventPartitionEnded:       "upstreams of a service are reachable again",
+	EventForwardRefused:       "peer refused a forwarded call or was unreachable",
 	EventSuspectsNotStored:    "suspected prompt parts and requests were not written to the store",
 	EventRequestLimitNamed:    "upstream named a request limit",
 	EventRequestLimitEnded:    "upstream names no request limit any more",
