--- /dev/null
+++ b/gateway/hop_test.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dandelionrail.org/rail"
+)
+
+// peers registers peers that accept forwarded calls, and receives a digest from each.
+func (h *harness) peers(names ...string) *harness {
+	registrations := map[string]Registration{}
+	for _, name := range names {
+		registrations[name] = NewRegistration("127.0.0.1:1", "north").WithForwarding("127.0.0.1:2", "access")
+	}
+	h.post(NewPeersRead(registrations, true))
+	for _, name := range names {
+		h.digest(name, func(*Digest) {})
+	}
+	return h
+}
+
+// digest receives a digest of the peer.
+func (h *harness) digest(name string, change func(*Digest)) {
+	d := Digest{gateway: name, incarnation: name, sequence: h.now.UnixNano(), wall: h.now, covers: 1, domains: []string{"north"}}
+	change(&d)
+	h.post(NewDigestReceived(DigestFrom(d.Message())))
+	h.post(Ticked{})
+}
+
+// newPartitionedHarness returns a gateway that is partitioned from its upstreams of both services.
+func newPartitionedHarness(t *testing.T, peers ...string) *harness {
+	is := is.New(t)
+	h := newServingHarness(testUpstream("a"), testUpstream("b"), testEngine("e", "north"), testEngine("f", "north"))
+	h.peers(peers...)
+	for _, u := range []string{"a", "b", "e", "f"} {
+		x := h.state.registry.targets[u]
+		h.state.recordNotReached(x.service, x)
+	}
+	is.True(h.state.partitioned("desk"))
+	is.True(h.state.partitioned("models"))
+	return h
+}
+
+// A gateway places a forwarded call once, or refuses it as not run, and counts nothing that the peer counts.
+func TestForwardedCallAtThePeer(t *testing.T) {
+	for _, c := range []struct {
+		name, path, team string
+		version          int64
+		tried            []string
+		change           func(h *harness)
+		want             rail.Kind
+	}{
+		{name: "placed", path: "/orders/1", team: "engravers", version: 1},
+		{name: "older configuration", path: "/orders/1", team: "engravers", version: 0},
+		{name: "newer configuration", path: "/orders/1", team: "engravers", version: 2, want: rail.KindNotReady},
+		{name: "route that is gone", path: "/gone/1", team: "engravers", version: 0, want: rail.KindUnknownRoute},
+		{name: "team that is gone", path: "/orders/1", team: "weavers", version: 0, want: rail.KindUnknownTeam},
+		{name: "no team", path: "/orders/1", version: 1, want: rail.KindUnknownTeam},
+		{name: "shutting down", path: "/orders/1", team: "engravers", version: 1, change: func(h *harness) { h.post(ShutdownStarted{}) }, want: rail.KindLeaving},
+		{name: "partitioned too", path: "/orders/1", team: "engravers", version: 1, want: rail.KindNoUpstream, change: func(h *harness) {
+			for _, id := range []string{"a", "b"} {
+				h.state.recordNotReached("desk", h.state.registry.targets[id])
+			}
+		}},
+		{name: "all upstreams tried", path: "/orders/1", team: "engravers", version: 1, tried: []string{"a", "b"}, want: rail.KindNoUpstream},
+		{name: "one upstream tried", path: "/orders/1", team: "engravers", version: 1, tried: []string{"a"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newServingHarness(testUpstream("a"), testUpstream("b"))
+			h.peers("gateway-2")
+			h.state.config = testConfig(1, testTeam())
+			if c.change != nil {
+				c.change(h)
+			}
+			call := NewCall("r-1", c.path, "key-1", NewMessage("POST", c.path, "shop.example", nil, nil), h.now, h.now.Add(time.Second)).WithForwarded(NewForwarded("gateway-2", c.team, c.version, c.tried, 2))
+			e := h.arrive(call)
+			if c.want != rail.KindNone {
+				is.Equal(e.(Refuse).kind, c.want)
+				is.Equal(c.want.Reply().Run(), rail.NotRun)
+				return
+			}
+			_, again := e.(Send).Forward()
+			is.True(!again)
+			is.Equal(e.(Send).team, "engravers")
+			is.Equal(h.end(call, Outcome{kind: rail.KindUpstreamFull, refused: true}).(Refuse).kind, rail.KindUpstreamFull) // It is for the peer to try again.
+			is.Equal(len(h.state.calls), 0)
+			is.Equal(len(h.state.usage), 0)
+			is.Equal(h.state.demand, int64(0))
+			is.Equal(h.state.quota(h.state.config.teams["engravers"]).total, 0.0)
+			is.Equal(*h.state.retryBudget("desk"), retryBudget{currentSecond: h.state.retryBudget("desk").currentSecond})
+		})
+	}
+}
+
+// What follows a forward depends on whether it may have run, as with an attempt of the gateway itself.
+func TestNextStepAfterForward(t *testing.T) {
+	refused, unreached := Outcome{kind: rail.KindNotReady}, Outcome{kind: rail.KindPeerUnreachable}
+	failed := Outcome{kind: rail.KindUpstreamFailed}
+	for _, c := range []struct {
+		name, path string
+		outcomes   []Outcome
+		want       string
+	}{
+		{"served", "/orders/1", []Outcome{{status: 200, answered: true, placement: "a"}}, ""},
+		{"order that may have run", "/orders/1", []Outcome{failed}, "refuse upstreamFailed"},
+		{"order that a peer refused", "/orders/1", []Outcome{refused}, "forward"},
+		{"order for a peer that is unreachable", "/orders/1", []Outcome{unreached}, "forward"},
+		{"order that all peers refused", "/orders/1", []Outcome{refused, unreached, refused}, "refuse upstreamUnreachable"},
+		{"order that an upstream rejected", "/orders/1", []Outcome{{kind: rail.KindUpstreamFull, placement: "a"}}, "forward a"},
+		{"order that may have run after a refusal", "/orders/1", []Outcome{refused, failed}, "refuse upstreamFailed"},
+		{"lookup", "/orders/lookup/1", []Outcome{{kind: rail.KindUpstreamFailed, placement: "a"}}, "forward a"},
+		{"lookup that failed twice", "/orders/lookup/1", []Outcome{failed, failed}, "refuse upstreamFailed"},
+		{"failure of an upstream", "/orders/1", []Outcome{{kind: rail.KindUpstreamFailed, answered: true, status: 500, placement: "a"}}, "deliver"},
+		{"stream", "/drafts/1", []Outcome{{kind: rail.KindUpstreamFailed, events: 3, lastEventID: "3", placement: "e"}}, "forward e after 3"},
+		{"stream that cannot be resumed", "/chats/1", []Outcome{{kind: rail.KindUpstreamFailed, events: 3, lastEventID: "3", placement: "e"}}, "refuse upstreamFailed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newPartitionedHarness(t, "gateway-2", "gateway-3", "gateway-4")
+			call := h.call(c.path)
+			e, peers := h.arrive(call), map[string]bool{}
+			for _, o := range c.outcomes {
+				f, ok := e.(Send).Forward()
+				is.True(ok)
+				is.True(!peers[f.Peer()]) // One that refused is avoided.
+				peers[f.Peer()] = o.kind.Reply().Run() == rail.NotRun && o.placement == ""
+				is.Equal(f.Address(), "127.0.0.1:2")
+				is.Equal(f.Key(), "access")
+				e = h.end(call, o)
+			}
+			got := ""
+			switch e := e.(type) {
+			case Send:
+				f, _ := e.Forward()
+				got = "forward"
+				for _, id := range f.Tried() {
+					got += " " + id
+				}
+				if e.resume != "" {
+					got += " after " + e.resume
+				}
+			case Refuse:
+				got = "refuse " + string(e.kind)
+				is.True(e.retryAfter > 0 || e.kind.Reply().Run() != rail.NotRun)
+			case Deliver:
+				got = "deliver"
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// Calls are forwarded to peers only that run, are ready, accept them and are not partitioned themselves.
+func TestPeersThatGetForwards(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(h *harness)
+	}{
+		{"not ready", func(h *harness) { h.digest("gateway-2", func(d *Digest) { d.notReady = true }) }},
+		{"partitioned", func(h *harness) {
+			h.digest("gateway-2", func(d *Digest) { d.partitions = map[string][]string{"desk": {"gateway-2"}} })
+		}},
+		{"silent", func(h *harness) { h.advance(peerTimeout).digest("gateway-3", func(*Digest) {}) }},
+		{"without an address for forwards", func(h *harness) {
+			h.post(NewPeersRead(map[string]Registration{"gateway-2": NewRegistration("127.0.0.1:1", "north")}, false))
+		}},
+		{"removed", func(h *harness) { h.post(NewPeersRead(map[string]Registration{"gateway-2": {}}, false)) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newPartitionedHarness(t, "gateway-2", "gateway-3")
+			c.change(h)
+			for range 20 {
+				h.advance(time.Millisecond)
+				f, ok := h.arrive(h.call("/orders/1")).(Send).Forward()
+				is.True(ok)
+				is.Equal(f.Peer(), "gateway-3")
+			}
+			h.digest("gateway-3", func(d *Digest) { d.notReady = true })
+			h.digest("gateway-2", func(d *Digest) { d.notReady = true })
+			r := h.arrive(h.call("/orders/1")).(Refuse) // At once.
+			is.Equal(r.kind, rail.KindNoUpstream)
+			is.True(r.retryAfter > 0)
+		})
+	}
+}
+
+// A partition ends when probes of two upstreams succeed, one if there are no peers; failures that were kept back are dropped with it.
+func TestPartitionEndsWithProbes(t *testing.T) {
+	is := is.New(t)
+	h := newPartitionedHarness(t, "gateway-2")
+	probes := func(effects []Effect) []string {
+		var ids []string
+		for _, e := range effects {
+			if p, ok := e.(Probe); ok && p.upstream.service == "desk" {
+				ids = append(ids, p.upstream.id)
+			}
+		}
+		return ids
+	}
+	h.advance(probeInterval)
+	h.digest("gateway-2", func(*Digest) {})
+	asked := probes(h.advance(probeInterval).post(Ticked{}))
+	if len(asked) == 0 { // The tick of the digest asked it.
+		for id := range h.state.partitions["desk"].asked {
+			asked = append(asked, id)
+		}
+	}
+	is.Equal(len(asked), 1)
+	is.Equal(len(probes(h.advance(probeInterval).post(Ticked{}))), 0) // One at a time.
+	h.digest("gateway-2", func(*Digest) {})
+	next := probes(h.post(NewProbeEnded(asked[0], true)))
+	is.Equal(len(next), 1)
+	is.True(next[0] != asked[0])
+	is.True(h.state.partitioned("desk"))
+	h.post(NewProbeEnded(next[0], true))
+	is.True(!h.state.partitioned("desk"))
+	_, forwarded := h.arrive(h.call("/orders/1")).(Send).Forward()
+	is.True(!forwarded)
+}
