A shutdown answers what it aborts at the end of the grace period

What callers saw: a connection that ended without an answer in a planned restart, though the request had been read seconds before, if its upstream had not answered when the grace period ended.

Cause: the process ended with the calls in flight as they were.

Evidence: TestEndOfTheGracePeriodAnswersWhatIsInProgress, unexpected EOF before, 504 now. Answers of which a part was sent end as before.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -313,7 +313,9 @@
 // shutdown stops the gateway without aborting a request in progress: it reports not ready, accepts requests during the linger time, then finishes those in progress, within the grace period.
 func (d *daemon) shutdown() {
 	linger, grace := d.settings.DrainTimes()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	end, cancelEnd := context.WithTimeout(context.Background(), grace)
+	defer cancelEnd()
+	ctx, cancel := context.WithTimeout(end, grace-exitMargin)
 	defer cancel()
 	d.gateway.Post(gateway.ShutdownStarted{})
 	d.log.Write(rail.EventShutdown)
@@ -328,7 +330,7 @@
 			d.log.Write(rail.EventShutdown, gateway.NewField("error", err.Error()))
 		}
 	}
-	callCtx, cancelCall := context.WithTimeout(context.Background(), exitMargin)
+	callCtx, cancelCall := context.WithTimeout(end, exitMargin)
 	defer cancelCall()
 	if err := d.store.Register(callCtx, d.settings.NodeName(), gateway.Registration{}); err != nil {
 		d.log.Write(rail.EventPlatformUnavailable, gateway.NewField("error", err.Error()))
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -641,3 +641,13 @@
 	}
 	return effects
 }
+
+// abortAll aborts all attempts, so that none is followed by another one.
+func (s *State) abortAll() []Effect {
+	var effects []Effect
+	for c, p := range s.calls {
+		p.deadline = s.now
+		effects = append(effects, Abort{call: c, kind: rail.KindDeadlinePassed})
+	}
+	return effects
+}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -130,6 +130,9 @@
 // ShutdownStarted reports that this gateway is shutting down.
 type ShutdownStarted struct{}
 
+// ShutdownEnding reports that the process ends: calls in progress are aborted, and answered if nothing of an answer was sent.
+type ShutdownEnding struct{}
+
 // CallArrived reports a new call.
 type CallArrived struct{ call *Call }
 
@@ -208,6 +211,7 @@
 func (AdmittedRestored) gatewayEvent()   {}
 func (Ticked) gatewayEvent()             {}
 func (ShutdownStarted) gatewayEvent()    {}
+func (ShutdownEnding) gatewayEvent()     {}
 func (CallArrived) gatewayEvent()        {}
 func (AnswerStarted) gatewayEvent()      {}
 func (LimitRead) gatewayEvent()          {}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -117,6 +117,8 @@
 		s.fence = e.fence
 	case ShutdownStarted:
 		s.leaving = true
+	case ShutdownEnding:
+		return s.abortAll()
 	}
 	return nil
 }
