Failing test: the duties delay the end of the listener

What callers see: requests that the holder of the duties accepts long after SIGTERM, and cuts at the end of the grace period; its answers do not ask for the end of their connection meanwhile.

--- a/cmd/dandelionrail/daemon_test.go
+++ b/cmd/dandelionrail/daemon_test.go
@@ -268,3 +268,29 @@
 	s.is.Equal(<-done, "200<nil>")
 	s.is.True(!strings.Contains(s.log.String(), key))
 }
+
+// A call of the duties that is still in progress does not delay the end of the listener.
+func TestShutdownDoesNotWaitForTheDutiesToStopAccepting(t *testing.T) {
+	s := newSystem(t)
+	s.eventually("ready", s.ready)
+	s.daemon.dutyGroup.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		time.Sleep(1500 * time.Millisecond) // As a call to the cloud, which a shutdown does not cancel.
+	})
+	linger, _ := s.settings.DrainTimes()
+	begin := time.Now()
+	s.daemon.group.Go(func(context.Context) { s.daemon.shutdown() }) //nolint:contextcheck // A shutdown outlives the group's context.
+	s.eventually("not ready", func() bool { return !s.ready() })
+	resp, err := http.Post("http://"+s.settings.CallerAddress()+"/order/1", "", nil)
+	s.is.NoErr(err)
+	_ = resp.Body.Close()
+	s.is.True(resp.Close) // The caller opens its next connection to another gateway.
+	s.eventually("the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", s.settings.CallerAddress())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	s.is.True(time.Since(begin) < linger+time.Second)
+}
