The linger time of a shutdown does not wait for the duties

What callers saw: a gateway that holds the duties went on accepting requests for up to 1.2 s longer than its linger time if the cloud or the store was slow, so that a long stream sent more than 3 s after SIGTERM was cut at the end of the grace period; until then its answers did not ask for the end of their connection.

Cause: the shutdown stopped the duties first, which waits for a call to the cloud and the release of the lease, 600 ms each, and began to count the linger time after that.

Evidence: TestShutdownDoesNotWaitForTheDutiesToStopAccepting, kept the connection before; the listener closes within 3.5 s of the begin now, though the duties take 1.5 s to stop.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -319,10 +319,12 @@
 	defer cancel()
 	d.gateway.Post(gateway.ShutdownStarted{})
 	d.log.Write(rail.EventShutdown)
-	d.dutyGroup.Stop()
 	d.ingress.DisableKeepAlives()
 	d.forwards.DisableKeepAlives()
-	timer.Sleep(ctx, linger)
+	accepting, stopAccepting := context.WithTimeout(ctx, linger)
+	defer stopAccepting()
+	d.dutyGroup.Stop() // May wait for a call to the cloud, and for the release of the lease.
+	<-accepting.Done()
 	stopped := make(chan error, 1)
 	d.group.Go(func(context.Context) { stopped <- d.forwards.Shutdown(ctx) }) //nolint:contextcheck // A shutdown outlives the group's context.
 	for _, err := range []error{d.ingress.Shutdown(ctx), <-stopped} {
