--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -223,9 +223,9 @@
 func (d *Daemon) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	_ = d.callerListener.server.Shutdown(ctx)
+	_ = d.callerListener.shutdown(ctx)
 	_ = d.platform.Unregister(ctx, d.me.ID())
-	_ = d.controlListener.server.Shutdown(ctx)
+	_ = d.controlListener.shutdown(ctx)
 	d.journal.Report(rail.EventStopped, string(d.me.ID()), "")
 	d.group.Stop()
 }
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -47,6 +47,9 @@
 // serve handles requests until the server is shut down.
 func (l *listener) serve(context.Context) { _ = l.server.Serve(l.Listener) }
 
+// shutdown closes the listener and idle connections, and waits for the requests in flight.
+func (l *listener) shutdown(ctx context.Context) error { return l.server.Shutdown(ctx) }
+
 // serverTLS returns the TLS configuration of the control listener, nil if the settings name no keys.
 func serverTLS(s settings.Settings) (*tls.Config, error) {
 	pair, pool, err := keys(s)
