A shutdown keeps to the settings that were read last

What callers saw: cut requests, when the platform shortened the grace period of a running gateway and stopped it later.

Cause: the shutdown used the settings of the start. Settings that are read again are kept for it now; all else of them was applied before.

Evidence: TestChangedGracePeriodBoundsTheShutdown, not exited after the new period of 4 s (20 s at the start) before, exited within it after.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -77,6 +78,8 @@
 	metrics         *http.Server
 	settingsModTime time.Time
 	startedAt       time.Time
+	// reloaded holds the settings that were read last, nil if they were not read since the start.
+	reloaded atomic.Pointer[platform.Settings]
 }
 
 func newDaemon(s platform.Settings, out io.Writer) (*daemon, error) {
@@ -306,13 +309,18 @@
 		d.log.Write(rail.EventSettingsReloaded, gateway.NewField("error", err.Error()))
 		return
 	}
+	d.reloaded.Store(&s)
 	d.gateway.Post(gateway.NewSettingsRead(s.GatewaySettings("", d.startedAt)))
 	d.log.Write(rail.EventSettingsReloaded)
 }
 
 // shutdown stops the gateway without aborting a request in progress: it reports not ready, accepts requests during the linger time, then finishes those in progress, within the grace period.
 func (d *daemon) shutdown() {
-	linger, grace := d.settings.DrainTimes()
+	settings := d.settings
+	if s := d.reloaded.Load(); s != nil {
+		settings = *s
+	}
+	linger, grace := settings.DrainTimes()
 	end, cancelEnd := context.WithTimeout(context.Background(), grace)
 	defer cancelEnd()
 	ctx, cancel := context.WithTimeout(end, grace-exitMargin)
