A stream waits for memory before it is broken off

What callers saw: a stream that ended in its middle though its engine went on.

Cause: an event beyond 4 KiB is held until it is complete and takes its memory from what all messages share; when nothing was left at that moment, the attempt failed, and a stream that may not be resumed was cut. Now the stream is not read further until there is memory again, for a second at most: streams that wait hold memory that others wait for, so that an unbounded wait could last until their deadlines.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"dandelionrail.org/rail/timer"
 )
 
 // Memory bounds the bytes of messages that all calls in flight hold together,
@@ -54,6 +58,24 @@
 // atLeast reserves what is missing to the number of bytes, and returns false if that is not left.
 func (r *Reservation) atLeast(n int64) bool { return n <= r.held || r.add(n-r.held) }
 
+const (
+	// memoryWait bounds the wait for memory: those who wait hold some that others wait for.
+	memoryWait = time.Second
+	// memoryInterval is the time between two checks for memory.
+	memoryInterval = 10 * time.Millisecond
+)
+
+// await reserves what is missing to the number of bytes, and waits for it for a time if that is not left.
+func (r *Reservation) await(ctx context.Context, n int64) bool {
+	for end := time.Now().Add(memoryWait); !r.atLeast(n); {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return false
+		}
+		timer.Sleep(ctx, memoryInterval)
+	}
+	return true
+}
+
 // Release returns all bytes to the memory.
 func (r *Reservation) Release() {
 	r.memory.give(r.held)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -262,7 +262,7 @@
 			}
 			held = held[:0]
 		}
-		if splitErr == nil && !r.reservation.atLeast(int64(len(r.events.buffer)-minBufferBytes)) {
+		if splitErr == nil && !r.reservation.await(ctx, int64(len(r.events.buffer)-minBufferBytes)) {
 			splitErr = ErrNoMemory
 		}
 		if splitErr != nil {
