Failing test: streams of a silent engine are aborted for one that is full

What callers see: a stream ends in its middle: the engine that should go on with it refuses it since it is full, and no retry is left for another.

--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -199,6 +199,10 @@
 		{"the other engine has a request limit", 60, func(h *harness) {
 			h.state.registry.targets["b"].limit.limitNews = limitNews{RequestLimit: RequestLimit{perSecond: 100, named: true}, at: h.now}
 		}, 0},
+		{"the other engine has room for two", 60, func(h *harness) {
+			h.state.registry.targets["b"].ownLoad.running = 62
+		}, 2},
+		{"the other engine is full", 60, func(h *harness) { h.state.registry.targets["b"].ownLoad.running = 64 }, 0},
 		{"no retries are left", 0, func(*harness) {}, 0},
 		{"two retries are left", 1.5, func(*harness) {}, 2},
 	} {
