Streams of a silent engine are aborted only as far as others have room

What callers saw: a stream that was cut after its engine paused and the engine that should go on with it was full.

Cause: an engine whose slots were known to be taken counted as one that can go on with the stream. Now each stream that is aborted at once needs a slot that is free by the load that this gateway knows, its own and its peers'. The price: when an engine has really ended without a reset while all others are full, its streams wait until their callers leave instead of queueing at a full engine.

Evidence: the two new cases of TestSilentEngineKeepsItsStreamsThatCannotGoOnElsewhere, six streams aborted before, none and two after.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -516,8 +516,17 @@
 	return next != nil && suits(next)
 }
 
-// acceptsMany reports whether the upstream may have room for several calls that are aborted at once.
-func acceptsMany(t *target) bool { return !t.limit.named && !t.refusal.probing }
+// room counts the calls that are aborted at once, by the upstream that is to take them.
+type room map[*target]int
+
+// take reports whether the upstream has room for one more call, and counts it.
+func (r room) take(t *target) bool {
+	if t.limit.named || t.refusal.probing || (t.slots > 0 && t.ownLoad.running+t.peerLoad.running+r[t] >= t.slots) {
+		return false
+	}
+	r[t]++
+	return true
+}
 
 // failOver aborts the call's attempt, which has not been answered in time, if another one may follow.
 func (s *State) failOver(c *Call) []Effect {
@@ -622,6 +631,7 @@
 		}
 	}
 	var effects []Effect
+	taken := room{}
 	for c, p := range s.calls {
 		if p.gotFirstToken && p.route.streaming && s.now.Sub(p.lastEventAt) >= p.route.stallTimeout() {
 			effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
@@ -634,7 +644,7 @@
 		if a.streams < minSilentStreams && !s.peersSilent(p.target.domain) {
 			continue
 		}
-		if !s.reserveRetry(c, p, acceptsMany) {
+		if !s.reserveRetry(c, p, taken.take) {
 			continue
 		}
 		effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
