Soak: gateways lose all upstreams, those of a service or those of a domain

Proxies learn which gateway has opened a connection from the kernel's tables and partition single gateways: connections are reset, hang in one or both directions, or live on while new ones are reset. First tries are sent at a steady rate to each gateway; those at partitioned gateways must be served about as often as those at the others (the users' rule), and all other promises hold as in the mixed scenario.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -31,6 +31,7 @@
 	received       int // Number of events, as long as they are in order.
 	err            error
 	leaving        bool // The answer said that its upstream leaves.
+	steady         bool // It was sent whether earlier ones were answered or not.
 }
 
 func (q *request) service() string {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -148,6 +149,11 @@
 		all = append(append([]fault(nil), faults...), hostileFaults...)
 	case restored:
 		all = append(append([]fault(nil), faults...), restoredFaults...)
+	case partitioned:
+		if all = append([]fault(nil), faults...); d.random.IntN(2) == 0 {
+			all = slices.DeleteFunc(all, func(f fault) bool { return !f.planned || f.name == "SIGTERM and start" })
+		}
+		all = append(all, partitionedFaults...)
 	case poisoned:
 		all = append(append([]fault(nil), faults...), poisonedFaults...)
 	}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -43,11 +43,10 @@
 // are still free when it is restarted.
 var addressCount atomic.Int32
 
-// nextAddress returns a loopback address that was not returned before. It depends on the process, so that runs at the same time
-// do not use each other's gateways.
+// nextAddress returns a loopback address that was not returned before, of a network that depends on the process.
 func nextAddress() string {
 	n := addressCount.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, n/200, 1+n%200)
+	return fmt.Sprintf("127.%d.%d.%d", 3+os.Getpid()%250, n/200, 1+n%200)
 }
 
 // The ports of each gateway.
--- a/soak/promise_test.go
+++ b/soak/promise_test.go
@@ -22,6 +22,9 @@
 	if d.scenario == crashing {
 		d.checkCrashing()
 	}
+	if d.scenario == partitioned {
+		d.checkPartitions()
+	}
 	if d.scenario == poisoned {
 		d.checkPoison()
 		d.checkLimits()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -20,6 +20,7 @@
 	stalled     // Holds the data of both directions.
 	stalledUp   // Holds the data to the target.
 	stalledDown // Holds the data from the target.
+	closedToNew // Resets new connections; open ones live on.
 )
 
 // proxy forwards the connections of one link.
@@ -34,6 +35,12 @@
 	lastDisturbed time.Time // When the mode last changed to or from one that disturbs the link.
 	changed       chan struct{}
 	conns         map[net.Conn]bool
+	// owner returns the name of the gateway that opened a connection; it is nil if no gateway is partitioned by itself.
+	owner func(net.Conn) string
+	// cuts holds the mode for the connections of single gateways, ownerOf the gateway of each connection of both sides.
+	cuts    map[string]mode
+	ownerOf map[net.Conn]string
+	lastCut time.Time // When a cut last began or ended.
 }
 
 func newProxy(g *group.Group, target string) (*proxy, error) {
@@ -41,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, group: g, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, group: g, changed: make(chan struct{}), conns: map[net.Conn]bool{}, cuts: map[string]mode{}, ownerOf: map[net.Conn]string{}}
 	g.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		p.set(refusing)
@@ -114,6 +121,39 @@
 	}
 }
 
+// identifyBy sets the function that returns the gateway of a connection.
+func (p *proxy) identifyBy(owner func(net.Conn) string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owner = owner
+}
+
+func (p *proxy) gatewayOf(conn net.Conn) string {
+	p.mu.Lock()
+	owner := p.owner
+	p.mu.Unlock()
+	if owner == nil {
+		return ""
+	}
+	return owner(conn)
+}
+
+// cut sets the mode of the connections of one gateway; passing ends it.
+func (p *proxy) cut(gateway string, m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cuts[gateway], p.lastCut = m, time.Now()
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if m == refusing {
+		for c := range p.conns {
+			if p.ownerOf[c] == gateway {
+				reset(c)
+			}
+		}
+	}
+}
+
 // undisturbedFor reports whether the link has forwarded all data without delay for longer than the duration.
 func (p *proxy) undisturbedFor(d time.Duration) bool {
 	p.mu.Lock()
@@ -121,6 +161,13 @@
 	return p.mode == passing && time.Since(p.lastDisturbed) > d
 }
 
+// uncutFor reports whether no gateway has been cut off for the duration.
+func (p *proxy) uncutFor(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.lastCut) > d
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -128,14 +175,19 @@
 	_ = c.Close()
 }
 
-func (p *proxy) current() (mode, chan struct{}) {
+// current returns the mode of the connections of a gateway.
+func (p *proxy) current(gateway string) (mode, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if m := p.cuts[gateway]; m != passing && p.mode == passing {
+		return m, p.changed
+	}
 	return p.mode, p.changed
 }
 
 func (p *proxy) serve(ctx context.Context, conn net.Conn) {
-	if m, _ := p.current(); m == refusing {
+	gateway := p.gatewayOf(conn)
+	if m, _ := p.current(gateway); m == refusing || m == closedToNew {
 		reset(conn)
 		return
 	}
@@ -146,17 +198,19 @@
 	}
 	p.mu.Lock()
 	p.conns[conn], p.conns[target] = true, true
+	p.ownerOf[conn], p.ownerOf[target] = gateway, gateway
 	p.mu.Unlock()
-	p.group.Go(func(context.Context) { p.pipe(ctx, target, conn, stalledDown) })
-	p.pipe(ctx, conn, target, stalledUp)
+	p.group.Go(func(context.Context) { p.pipe(ctx, target, conn, gateway, stalledDown) })
+	p.pipe(ctx, conn, target, gateway, stalledUp)
 }
 
 // pipe forwards data in one direction. While the link is stalled or in the mode that stalls this direction, it holds
 // the data instead of dropping it, so that the receiver never gets a stream with a gap.
-func (p *proxy) pipe(ctx context.Context, from, to net.Conn, stalledMode mode) {
+func (p *proxy) pipe(ctx context.Context, from, to net.Conn, gateway string, stalledMode mode) {
 	defer func() {
 		p.mu.Lock()
 		delete(p.conns, from)
+		delete(p.ownerOf, from)
 		p.mu.Unlock()
 		if t, ok := to.(*net.TCPConn); ok {
 			_ = t.CloseWrite()
@@ -166,7 +220,7 @@
 	for {
 		n, err := from.Read(buffer)
 		for {
-			m, changed := p.current()
+			m, changed := p.current(gateway)
 			if m == delayed {
 				time.Sleep(time.Duration(20+rand.IntN(200)) * time.Millisecond)
 			}
@@ -186,7 +240,7 @@
 			}
 		}
 		if err != nil {
-			if m, _ := p.current(); m == refusing {
+			if m, _ := p.current(gateway); m == refusing {
 				reset(to)
 			}
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +118,12 @@
 	}
 }
 
+func TestPromisesHoldUnderPartitions(t *testing.T) {
+	for i := range *seedCount {
+		runScenario(t, *firstSeed+uint64(i), partitioned, *length)
+	}
+}
+
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, f := range fixedFailures {
 		runScenario(t, f.seed, f.scenario, failedLength)
@@ -139,12 +146,14 @@
 	poisoned scenario = "poisoned"
 	restored scenario = "restored" // As mixed, with a store that is restored from older copies.
 	crashing scenario = "crashing" // As mixed, with a request under which upstreams crash.
-	planned  scenario = "planned"  // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
+	// With gateways that lose all upstreams, those of a service or those of a domain; half of the seeds have only planned events beside it.
+	partitioned scenario = "partitioned"
+	planned     scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
 )
 
 // test returns the name of the test whose seeds the flags choose.
 func (s scenario) test() string {
-	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", planned: "TestPlannedWorkCutsNothing"}[s]
+	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", planned: "TestPlannedWorkCutsNothing"}[s]
 }
 
 // deployment is the system under test, with its store, upstreams and callers.
@@ -161,6 +170,8 @@
 	processes   []*process
 	stoppedAt   time.Time
 	recoverAt   time.Time // When all faults are over.
+	started     atomic.Bool
+	partitionMu sync.Mutex // Held while gateways are partitioned.
 
 	mu            sync.Mutex
 	upstreams     []*upstream
@@ -171,6 +182,7 @@
 	// leavingTold holds when a gateway first passed on an answer of an upstream that said that it leaves.
 	leavingTold map[told]time.Time
 	overload    bool
+	partitions  []partitionRecord
 	// storeDisturbedUntil is when the last disturbance of the store began or ended.
 	storeDisturbedUntil time.Time
 	log                 []string
@@ -194,6 +206,11 @@
 		for n := range callers {
 			d.callers.Go(d.sendRequests(n, rand.New(rand.NewPCG(seed, uint64(n)+2))))
 		}
+		if kind == partitioned {
+			for n := range d.processes {
+				d.callers.Go(d.sendSteadily(n, rand.New(rand.NewPCG(seed, uint64(callers+n)+2))))
+			}
+		}
 		time.Sleep(length + shutdownGrace + recoverWithin)
 		if kind == restored {
 			d.checkNewestConfiguration(t.Context())
@@ -203,6 +220,9 @@
 		for _, p := range d.processes {
 			p.kill()
 		}
+		if kind == partitioned {
+			d.awaitUpstreams()
+		}
 		d.check()
 		d.logSummary()
 		if len(d.recorder.violations) > 0 {
@@ -231,6 +251,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	d.started.Store(true)
 	time.Sleep(time.Second) // The gateways discover each other.
 	return nil
 }
@@ -281,6 +302,9 @@
 		return nil, err
 	}
 	u.deployment = d
+	if d.scenario == partitioned {
+		u.proxy.identifyBy(d.connectionOwner)
+	}
 	if d.scenario == poisoned {
 		u.unframedPercent.Store(20)
 	}
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -261,7 +261,7 @@
 			u.recorder.recordViolation("UNASKED: %s of %s is %q, not %q", what, q.id, pair[0], pair[1])
 		}
 	}
-	u.recorder.checkDeadline(q, r.Header.Get("X-Deadline-Ms"), u.proxy.undisturbedFor(disturbanceTime) && u.recorder.undisturbedFor(disturbanceTime))
+	u.recorder.checkDeadline(q, r.Header.Get("X-Deadline-Ms"), u.proxy.undisturbedFor(disturbanceTime) && u.proxy.uncutFor(disturbanceTime) && u.recorder.undisturbedFor(disturbanceTime))
 	if resumed := r.Header.Get("Last-Event-Id"); resumed != "" && !strings.HasPrefix(q.path, "/draft/") {
 		u.recorder.recordViolation("ORDER: %s is resumed and may not be", q.id)
 	}
