--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -40,6 +40,9 @@
 		p := d.processes[n]
 		for number := (callers + n) * 1_000_000; ctx.Err() == nil; number++ {
 			q := newRequest(r, number, "engravers")
+			for q.eventCount > 0 && r.IntN(5) > 0 { // Streams would take the slots of the other callers.
+				q = newRequest(r, number, "engravers")
+			}
 			q.gateway, q.steady = p.name, true
 			d.recorder.mu.Lock()
 			d.recorder.sent[q.id] = q
