--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -139,7 +139,7 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(r.Body)
-	if err != nil || r.URL.Path == "/health" {
+	if err != nil || r.URL.Path == "/health" || r.URL.Path == "/-/report" {
 		return
 	}
 	w.Header().Set("X-Request-Id", id)
