--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -30,15 +30,23 @@
 	h.post(Ticked{})
 }
 
+// unreach makes attempts and probes fail at the upstreams.
+func (h *harness) unreach(ids ...string) {
+	for _, id := range ids {
+		t := h.state.registry.targets[id]
+		h.state.recordNotReached(t.service, t)
+	}
+	for _, id := range ids {
+		h.post(NewProbeEnded(id, false))
+	}
+}
+
 // newPartitionedHarness returns a gateway that is partitioned from its upstreams of both services.
 func newPartitionedHarness(t *testing.T, peers ...string) *harness {
 	is := is.New(t)
 	h := newServingHarness(testUpstream("a"), testUpstream("b"), testEngine("e", "north"), testEngine("f", "north"))
 	h.peers(peers...)
-	for _, u := range []string{"a", "b", "e", "f"} {
-		x := h.state.registry.targets[u]
-		h.state.recordNotReached(x.service, x)
-	}
+	h.unreach("a", "b", "e", "f")
 	is.True(h.state.partitioned("desk"))
 	is.True(h.state.partitioned("models"))
 	return h
@@ -61,9 +69,7 @@
 		{name: "no team", path: "/orders/1", version: 1, want: rail.KindUnknownTeam},
 		{name: "shutting down", path: "/orders/1", team: "engravers", version: 1, change: func(h *harness) { h.post(ShutdownStarted{}) }, want: rail.KindLeaving},
 		{name: "partitioned too", path: "/orders/1", team: "engravers", version: 1, want: rail.KindNoUpstream, change: func(h *harness) {
-			for _, id := range []string{"a", "b"} {
-				h.state.recordNotReached("desk", h.state.registry.targets[id])
-			}
+			h.unreach("a", "b")
 		}},
 		{name: "all upstreams tried", path: "/orders/1", team: "engravers", version: 1, tried: []string{"a", "b"}, want: rail.KindNoUpstream},
 		{name: "one upstream tried", path: "/orders/1", team: "engravers", version: 1, tried: []string{"a"}},
