--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -565,8 +565,10 @@
 
 // refuse ends a call with an error kind.
 func (s *State) refuse(c *Call, p *pendingCall, kind rail.Kind, wait time.Duration) []Effect {
-	fields := []Field{NewField("request", c.id), NewField("kind", string(kind)), NewField("retryMs", wait.Milliseconds()), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()),
-		NewField("connectionMs", c.connectionAge.Milliseconds())}
+	fields := []Field{
+		NewField("request", c.id), NewField("kind", string(kind)), NewField("retryMs", wait.Milliseconds()), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()),
+		NewField("connectionMs", c.connectionAge.Milliseconds()),
+	}
 	if s.config != nil {
 		fields = append(fields, NewField("config", s.config.version))
 	}
--- a/gateway/forwardfleet_test.go
+++ b/gateway/forwardfleet_test.go
@@ -283,7 +283,8 @@
 }, func(s struct {
 	deskFleetSize
 	perSecond float64
-}) bool {
+},
+) bool {
 	return s.gateways > maxSimulatedGateways
 })
 
@@ -350,7 +351,7 @@
 		cut  func(s *State, u Upstream) bool
 	}{
 		{"a domain of upstreams", func(s *State, u Upstream) bool { return u.domain == "domain-2" && s.settings.domain != "domain-2" }},
-		{"the own domain's upstreams", func(s *State, u Upstream) bool { return u.domain == s.settings.domain && u.domain == "domain-1" }},
+		{"the own domain's upstreams", func(s *State, u Upstream) bool { return u.domain == "domain-1" && s.settings.domain == "domain-1" }},
 		{"half of the upstreams from half of the gateways", func(s *State, u Upstream) bool { return oddName(s.settings.name) && oddName(u.id) }},
 		{"all but three of the upstreams from all gateways", func(_ *State, u Upstream) bool {
 			return !slices.Contains([]string{"engine-0", "engine-6", "engine-9"}, u.id)
