--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -128,6 +128,7 @@
 		return
 	}
 	clear(x.failed)
+	clear(x.probes)
 	x.release()
 }
 
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -278,6 +279,10 @@
 // registrationsChanged updates what is derived from the registered gateways.
 func (s *State) registrationsChanged() {
 	s.registeredRevision++
+	maps.DeleteFunc(s.hops, func(name string, _ *target) bool {
+		_, registered := s.registrations.byName[name]
+		return !registered
+	})
 	s.cells = newCells(NewRegistration("", s.settings.domain), s.settings.name, s.registrations.byName)
 }
 
