--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // partitionedFaults come in addition in the partitioned scenario.
@@ -193,37 +193,71 @@
 // connectionOwner returns the name of the gateway that opened a connection over the loopback interface, from the kernel's tables.
 func (d *deployment) connectionOwner(conn net.Conn) string {
 	remote, ok := conn.RemoteAddr().(*net.TCPAddr)
-	if !ok || !d.started.Load() {
+	local, ok2 := conn.LocalAddr().(*net.TCPAddr)
+	if !ok || !ok2 || !d.started.Load() {
 		return ""
 	}
-	table, err := os.ReadFile("/proc/net/tcp")
+	inode, err := socketInode(remote, local)
 	if err != nil {
 		return ""
 	}
-	ip := remote.IP.To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], remote.Port)
-	const localColumn, inodeColumn = 1, 9
-	for _, line := range strings.Split(string(table), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) > inodeColumn && fields[localColumn] == local {
-			return d.socketOwner("socket:[" + fields[inodeColumn] + "]")
-		}
+	return d.socketOwner("socket:[" + strconv.FormatUint(uint64(inode), 10) + "]")
+}
+
+// The layout of a request and of an answer of the kernel's socket diagnosis, in bytes.
+const (
+	diagRequestBytes = 16 + 56
+	diagInodeOffset  = 16 + 68
+	diagByFamily     = 20 // SOCK_DIAG_BY_FAMILY
+)
+
+// socketInode returns the inode of the TCP socket with the addresses.
+func socketInode(from, to *net.TCPAddr) (uint32, error) {
+	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_INET_DIAG)
+	if err != nil {
+		return 0, err
 	}
-	return ""
+	defer func() { _ = unix.Close(fd) }()
+	b := make([]byte, diagRequestBytes)
+	native := binary.NativeEndian
+	native.PutUint32(b, diagRequestBytes)
+	native.PutUint16(b[4:], diagByFamily)
+	native.PutUint16(b[6:], unix.NLM_F_REQUEST)
+	b[16], b[17] = unix.AF_INET, unix.IPPROTO_TCP
+	native.PutUint32(b[20:], ^uint32(0)) // All states.
+	binary.BigEndian.PutUint16(b[24:], uint16(from.Port))
+	binary.BigEndian.PutUint16(b[26:], uint16(to.Port))
+	copy(b[28:], from.IP.To4())
+	copy(b[44:], to.IP.To4())
+	native.PutUint64(b[64:], ^uint64(0)) // Any cookie.
+	if err := unix.Sendto(fd, b, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return 0, err
+	}
+	answer := make([]byte, 4<<10)
+	n, _, err := unix.Recvfrom(fd, answer, 0)
+	if err != nil {
+		return 0, err
+	}
+	if n < diagInodeOffset+4 || native.Uint16(answer[4:]) != diagByFamily {
+		return 0, unix.ENOENT
+	}
+	return native.Uint32(answer[diagInodeOffset:]), nil
 }
 
 // socketOwner returns the name of the gateway whose process has the socket open.
 func (d *deployment) socketOwner(socket string) string {
 	for _, p := range d.processes {
 		p.mu.Lock()
-		pid := p.cmd.Process.Pid
+		dir := "/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/fd/"
 		p.mu.Unlock()
-		files, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/fd/*")
+		opened, err := os.Open(dir)
 		if err != nil {
 			continue
 		}
+		files, _ := opened.Readdirnames(-1) // The process may have ended.
+		_ = opened.Close()
 		for _, f := range files {
-			if target, err := os.Readlink(f); err == nil && target == socket {
+			if target, err := os.Readlink(dir + f); err == nil && target == socket {
 				return p.name
 			}
 		}
