--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -419,10 +419,11 @@
 	}
 	ended, at, seen := *p, s.now, s.trueTime()
 	p.version = versionKey{}
-	return s.recordAttemptReach(p, o, func() {
-		s.recordVersionOutcome(ended, o, at)
+	effects := s.recordAttemptReach(p, o, func() { s.recordVersionOutcome(ended, o, at) })
+	if o.reached() || !s.partitioned(p.service.name) {
 		s.recordPromptOutcome(c, ended, o, at, seen)
-	})
+	}
+	return effects
 }
 
 // countRefusal counts an attempt that did not run.
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -44,7 +44,7 @@
 	// probeInterval is the time between two probes; suspicionProbes is the number of those that a suspicion begins with.
 	probeInterval   = 500 * time.Millisecond
 	suspicionProbes = minPartition - minSuspicion
-	// probeTimeout is the time without a result after which a probe counts as failed.
+	// probeTimeout is the time without a result after which a probe is given up; it is no evidence.
 	probeTimeout = 2 * time.Second
 	// minSilentWait is how long a caller that disconnects must have waited for the upstream to count as not reached.
 	minSilentWait = 500 * time.Millisecond
@@ -207,7 +207,7 @@
 		}
 		for id, at := range x.asked {
 			if s.now.Sub(at) >= probeTimeout {
-				effects = append(effects, s.probeEnded(ProbeEnded{upstreamID: id})...)
+				delete(x.asked, id)
 			}
 		}
 		if len(x.asked) == 0 && s.now.Sub(x.probedAt) >= probeInterval {
