What both gateways know of a forwarded attempt is one type

Forward and Forwarded had four fields and accessors each that were the same; they share them now, and the reducer builds a Forward by its constructor.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -2,18 +2,35 @@
 
 import "dandelionrail.org/rail"
 
+// forwardTerms are what both gateways know of a forwarded attempt.
+type forwardTerms struct {
+	team          string
+	configVersion int64
+	tried         []string
+	attemptsLeft  int
+}
+
+// Team returns the name of the call's team, empty if it has none.
+func (f forwardTerms) Team() string { return f.team }
+
+// ConfigVersion returns the version of the configuration by which the call was admitted.
+func (f forwardTerms) ConfigVersion() int64 { return f.configVersion }
+
+// Tried returns the ids of the upstreams that the call was sent to before.
+func (f forwardTerms) Tried() []string { return f.tried }
+
+// AttemptsLeft returns how many attempts may run, this one included.
+func (f forwardTerms) AttemptsLeft() int { return f.attemptsLeft }
+
 // Forward describes an attempt that a peer makes on behalf of this gateway: the peer chooses the upstream.
 type Forward struct {
+	forwardTerms
 	peer, address, key string
-	team               string
-	configVersion      int64
-	tried              []string
-	attemptsLeft       int
 }
 
 // NewForward returns the description of an attempt of the team's call at the named peer.
 func NewForward(peer, address, key, team string, configVersion int64, tried []string, attemptsLeft int) Forward {
-	return Forward{peer: peer, address: address, key: key, team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}
+	return Forward{forwardTerms: forwardTerms{team, configVersion, tried, attemptsLeft}, peer: peer, address: address, key: key}
 }
 
 // Peer returns the name of the peer.
@@ -25,47 +42,20 @@
 // Key returns the key that the peer requires of forwarded calls.
 func (f Forward) Key() string { return f.key }
 
-// Team returns the name of the call's team, empty if it has none.
-func (f Forward) Team() string { return f.team }
-
-// ConfigVersion returns the version of the configuration by which the call was admitted.
-func (f Forward) ConfigVersion() int64 { return f.configVersion }
-
-// Tried returns the ids of the upstreams that the call was sent to before.
-func (f Forward) Tried() []string { return f.tried }
-
-// AttemptsLeft returns how many attempts may run, this one included.
-func (f Forward) AttemptsLeft() int { return f.attemptsLeft }
-
 // Forwarded describes a call that a peer forwarded to this gateway.
 type Forwarded struct {
-	from          string
-	team          string
-	configVersion int64
-	tried         []string
-	attemptsLeft  int
+	forwardTerms
+	from string
 }
 
 // NewForwarded returns the description of a call from the named gateway, which admitted it for the team, empty for none.
 func NewForwarded(from, team string, configVersion int64, tried []string, attemptsLeft int) Forwarded {
-	return Forwarded{from: from, team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}
+	return Forwarded{forwardTerms: forwardTerms{team, configVersion, tried, attemptsLeft}, from: from}
 }
 
 // From returns the name of the gateway that has the caller.
 func (f Forwarded) From() string { return f.from }
 
-// Team returns the name of the team, empty for none.
-func (f Forwarded) Team() string { return f.team }
-
-// ConfigVersion returns the version of the configuration by which the call was admitted.
-func (f Forwarded) ConfigVersion() int64 { return f.configVersion }
-
-// Tried returns the ids of the upstreams that the call was sent to before.
-func (f Forwarded) Tried() []string { return f.tried }
-
-// AttemptsLeft returns how many attempts may run, this one included.
-func (f Forwarded) AttemptsLeft() int { return f.attemptsLeft }
-
 // WithForwarded returns the call as one that a peer forwarded; its team is taken by name, never by key.
 func (c *Call) WithForwarded(f Forwarded) *Call {
 	c.forwarded = &f
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -87,6 +87,7 @@
 // forward lets the peer make the next attempt of the call.
 func (s *State) forward(c *Call, p *pendingCall, peer string) []Effect {
 	r := s.registrations.byName[peer]
+	f := NewForward(peer, r.forwardAddress, r.accessKey, p.teamName(), s.config.version, slices.Clone(p.triedIDs), p.runsLeft())
 	p.attempts++
 	p.target, p.peer, p.version = s.hop(peer, r), peer, versionKey{}
 	p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = false, false, false, s.now, s.now
@@ -99,7 +100,7 @@
 		Send{
 			call: c, upstream: p.target.Upstream, route: p.route, team: p.teamName(), attempt: p.attempts, priority: p.priority(), resume: p.resume, deadline: p.deadline,
 			failoverTimeout: s.hopTimeout(c, p),
-			forward:         &Forward{peer: peer, address: r.forwardAddress, key: r.accessKey, team: p.teamName(), configVersion: s.config.version, tried: slices.Clone(p.triedIDs), attemptsLeft: p.runsLeft()},
+			forward:         &f,
 		},
 	}
 }
