--- a/review/harness/client_test.go
+++ b/review/harness/client_test.go
@@ -32,9 +32,11 @@
 	number atomic.Int64
 	host   string
 	key    string // Of the tenant, empty if there is none.
-	mu     sync.Mutex
-	all    []*attempt
-	wait   sync.WaitGroup
+	// headers sets further headers of an attempt; it may be nil.
+	headers func(a *attempt, h http.Header)
+	mu      sync.Mutex
+	all     []*attempt
+	wait    sync.WaitGroup
 }
 
 func newClients(w *world) *clients { return &clients{w: w, host: "shop.example"} }
@@ -58,6 +60,9 @@
 	if c.key != "" {
 		r.Header.Set("Authorization", "Token "+c.key)
 	}
+	if c.headers != nil {
+		c.headers(a, r.Header)
+	}
 	resp, err := transport.RoundTrip(r)
 	if err == nil {
 		var b []byte
