--- a/review/harness/main_test.go
+++ b/review/harness/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -33,11 +35,18 @@
 		fmt.Println("cannot run:", err)
 		os.Exit(failed)
 	}
-	time.AfterFunc(maxTime, func() {
-		w.note("ended after %v without a result", maxTime)
+	giveUp := func(why string) {
+		w.note("cannot run: %s", why)
 		w.close()
 		os.Exit(failed)
-	})
+	}
+	time.AfterFunc(maxTime, func() { giveUp("no result in time") })
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		giveUp("stopped by a signal")
+	}()
 	result := func() (code int) {
 		defer func() {
 			if r := recover(); r != nil {
