--- a/review/harness/main_test.go
+++ b/review/harness/main_test.go
@@ -16,7 +16,7 @@
 	failed = 2 // The case could not run.
 )
 
-// cases are the cases by the name of their folder.
+// cases are the cases by their names, which run.sh gives.
 var cases = map[string]func(w *world) int{}
 
 // maxTime ends a case that does not end by itself.
--- a/review/harness/case3_test.go
+++ b/review/harness/ownfailureaspromise_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["3"] = ownFailureAsPromise }
+func init() { cases["own-failure-as-promise"] = ownFailureAsPromise }
 
 // ownFailureAsPromise lets workers fail part of the orders that they have run, with a 503 of their own that does not say X-Not-Run.
 // REFUSED is checked for each client attempt; the orders that ran twice since a client tried again are counted as well.
--- a/review/harness/case2_test.go
+++ b/review/harness/replacedthenrestart_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["2"] = replacedThenRestart }
+func init() { cases["replaced-then-restart"] = replacedThenRestart }
 
 // replacedThenRestart replaces gateways by new ones at other addresses, and kills all of them later. RECOVER is checked for the
 // requests that are sent later than RecoverS after the gateways are back. The tenant stays at three quarters of its limit.
--- a/review/harness/case1_test.go
+++ b/review/harness/rolloutthenrestart_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["1"] = rolloutThenRestart }
+func init() { cases["rollout-then-restart"] = rolloutThenRestart }
 
 // rolloutThenRestart lets a good rollout end as done, and kills all gateways later. RECOVER is checked for the requests that are sent
 // later than RecoverS after the gateways are back.
--- a/review/harness/case4_test.go
+++ b/review/harness/silentforasecond_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["4"] = silentForASecond }
+func init() { cases["silent-for-a-second"] = silentForASecond }
 
 // streamRun is one run of a stream at a worker.
 type streamRun struct {
--- a/review/harness/worker_test.go
+++ b/review/harness/worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -56,10 +57,16 @@
 	server                     *http.Server
 	born                       int64
 	busy                       chan struct{}
+	// limit returns the Server-Limit that the worker names, empty for none; it may be nil.
+	limit func() string
 	// answer writes the answer to a request that runs; nil writes a whole answer after the work.
 	answer func(k *worker, w http.ResponseWriter, r *http.Request, body []byte)
 
+	// listener is that of the current start.
+	listener *cutListener
+
 	mu    sync.Mutex
+	down  bool
 	state string
 	seq   int
 	stop  chan struct{}
@@ -68,8 +75,11 @@
 
 // addWorker starts a worker that registers itself.
 func (w *world) addWorker(id, service, zone, version string, slots int, work time.Duration, rs *runs) *worker {
-	l := listen(w.address())
-	k := &worker{w: w, id: id, service: service, zone: zone, version: version, address: l.Addr().String(), slots: slots, work: work, runs: rs, born: time.Now().UnixMilli(), busy: make(chan struct{}, slots), state: "ready", stop: make(chan struct{})}
+	l := &cutListener{Listener: listen(w.address()), w: w, open: map[net.Conn]struct{}{}}
+	w.mu.Lock()
+	w.listeners = append(w.listeners, l)
+	w.mu.Unlock()
+	k := &worker{w: w, id: id, service: service, zone: zone, version: version, address: l.Addr().String(), slots: slots, work: work, runs: rs, born: time.Now().UnixMilli(), busy: make(chan struct{}, slots), state: "ready", stop: make(chan struct{}), listener: l}
 	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
 	go func() { _ = k.server.Serve(l) }()
 	w.workers = append(w.workers, k)
@@ -82,7 +92,7 @@
 func (k *worker) register() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ended {
+	if k.ended || k.down {
 		return
 	}
 	k.seq++
@@ -126,6 +136,35 @@
 	k.w.line("worker %s ended", k.id)
 }
 
+// crash ends the worker's process without a word: its connections are reset. It starts again under its id and address after the time.
+func (k *worker) crash(back time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.down || k.ended {
+		return
+	}
+	k.down = true
+	_ = k.listener.Close()
+	k.listener.resetAll()
+	k.w.line("worker %s crashes", k.id)
+	time.AfterFunc(back, k.restart)
+}
+
+// restart starts the worker again after a crash.
+func (k *worker) restart() {
+	l, err := net.Listen("tcp", k.address)
+	must(err)
+	k.mu.Lock()
+	k.down, k.born, k.seq, k.busy = false, time.Now().UnixMilli(), 0, make(chan struct{}, k.slots)
+	k.listener = &cutListener{Listener: l, w: k.w, open: map[net.Conn]struct{}{}}
+	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
+	server, listener := k.server, k.listener
+	k.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	k.w.line("worker %s is back", k.id)
+	k.register()
+}
+
 // ServeHTTP implements http.Handler.
 func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -147,14 +186,22 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	k.mu.Lock()
+	busy := k.busy
+	k.mu.Unlock()
 	select {
-	case k.busy <- struct{}{}:
+	case busy <- struct{}{}:
 	default:
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer func() { <-k.busy }()
+	defer func() { <-busy }()
+	if k.limit != nil {
+		if v := k.limit(); v != "" {
+			w.Header().Set("Server-Limit", v)
+		}
+	}
 	n := k.runs.add(id, k.id)
 	k.w.line("run %s at %s, %s %s", id, k.id, r.Method, r.URL.Path)
 	w.Header().Set("X-Response-Stamp", fmt.Sprintf("%s.%s.%d", k.id, id, n))
--- a/review/harness/world_test.go
+++ b/review/harness/world_test.go
@@ -30,6 +30,9 @@
 	workers  []*worker
 	next     int
 	closed   bool
+	// listeners are those of the workers, cut holds the gateways that are partitioned from them.
+	listeners []*cutListener
+	cut       map[*gateway]bool
 }
 
 func newWorld(root, record string, trouble bool) (*world, error) {
