review: ordinary crashes block what all requests share, the cases are numbered anew

On a route whose short streams end with their connections no answer clears a part of a prompt of the crashes of workers that ran it. Three crashes of one worker in eighteen within five minutes block the part that all requests have, for a minute and longer, also after a restart of all gateways.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$here/../.." && pwd)
 cd "$root" || exit 2
 [ -x target/review/harness ] || exit 2
-CASE=silent-for-a-second RECORD="$here/record.txt" ROOT="$root" exec target/review/harness
+CASE=back-to-a-bad-version RECORD="$here/record.txt" ROOT="$root" exec target/review/harness
--- a/review/harness/wrongpartisblocked_test.go
+++ b/review/harness/wrongpartisblocked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -13,21 +14,23 @@
 func init() { cases["wrong-part-is-blocked"] = wrongPartIsBlocked }
 
 // wrongPartIsBlocked sends requests with a prompt part under which each worker crashes that begins to answer it. Their other parts are
-// those of sound requests, which pause for some seconds when the first of them come. LOST (users' first letter) is checked. LULL=0 lets the sound
-// requests go on.
+// those of sound requests. Streams are short and end with their connections. LOST (users' first letter) is checked. With FORM=chunks they
+// come in chunks; with LULL=1 sound requests pause for some seconds when the first of the others come.
 func wrongPartIsBlocked(w *world) int {
 	const (
 		contact  = 3 * time.Second // ContactMs.
-		events   = 20
+		events   = 4
 		interval = 50 * time.Millisecond
+		rate     = 3 // Sound requests a second.
 		back     = 3 * time.Second
 		shared   = "aa01:300"
 		poison   = "cc99:150"
 		style    = "dd04:200" // The last part that other requests have too.
-		before   = 22 * time.Second
+		before   = 15 * time.Second
 		lull     = 2500 * time.Millisecond
 		lasts    = 45 * time.Second
 	)
+	chunks, lulled := os.Getenv("FORM") == "chunks", os.Getenv("LULL") == "1"
 	var rs runs
 	var mu sync.Mutex
 	var crashes []time.Time
@@ -41,28 +44,36 @@
 		k := w.addWorker(fmt.Sprintf("i-engine%d", n), "models", zones[n%4], "v1", 64, 0, &rs)
 		k.answer = func(k *worker, rw http.ResponseWriter, r *http.Request, _ []byte) {
 			after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // Without it the stream begins at its first event.
-			rw.Header().Set("Content-Type", "text/event-stream")
 			parts := strings.Split(r.Header.Get("X-Prompt-Prefix"), ",")
-			crash := false
 			for _, p := range parts[:len(parts)-1] {
-				crash = crash || p == poison
-			}
-			for n := after + 1; n <= events; n++ {
-				time.Sleep(interval)
-				if crash {
+				if p == poison {
+					time.Sleep(interval)
 					mu.Lock()
 					crashes = append(crashes, time.Now())
 					mu.Unlock()
 					k.crash(back)
 					return
 				}
-				if r.Context().Err() != nil {
+			}
+			rw.Header().Set("Content-Type", "text/event-stream")
+			write, flush := io.Writer(rw), http.NewResponseController(rw).Flush
+			if !chunks {
+				conn, head, err := http.NewResponseController(rw).Hijack()
+				if err != nil {
 					return
 				}
-				if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s-%d\n\n", n, r.Header.Get("X-Request-Id"), n); err != nil {
+				defer func() { _ = conn.Close() }() // The end of the answer.
+				_, _ = io.WriteString(head, "HTTP/1.1 200 OK\r\nConnection: close\r\n")
+				_ = rw.Header().Write(head)
+				_, _ = io.WriteString(head, "\r\n")
+				write, flush = head, head.Flush
+			}
+			for n := after + 1; n <= events; n++ {
+				time.Sleep(interval)
+				if _, err := fmt.Fprintf(write, "id: %d\ndata: %s-%d\n\n", n, r.Header.Get("X-Request-Id"), n); err != nil {
 					return
 				}
-				if err := http.NewResponseController(rw).Flush(); err != nil {
+				if err := flush(); err != nil {
 					return
 				}
 			}
@@ -90,9 +101,9 @@
 		}
 	}
 	stop := make(chan struct{})
-	sound.flow(2, stop, gateways, send(sound, "sound"))
+	sound.flow(rate, stop, gateways, send(sound, "sound"))
 	time.Sleep(before)
-	if w.trouble && os.Getenv("LULL") != "0" {
+	if w.trouble && lulled {
 		close(stop)
 		stop = make(chan struct{})
 		time.Sleep(lull)
@@ -103,9 +114,9 @@
 		w.note("requests with a part that crashes workers come, one a second")
 		bad.flow(1, stopBad, gateways, send(bad, "bad"))
 	}
-	if w.trouble && os.Getenv("LULL") != "0" {
+	if w.trouble && lulled {
 		time.Sleep(time.Second + lull)
-		sound.flow(2, stop, gateways, send(sound, "sound"))
+		sound.flow(rate, stop, gateways, send(sound, "sound"))
 	}
 	time.Sleep(lasts)
 	ended := time.Now()
