gateway, duty: the end of a rollout outlives a restart of all gateways

All gateways are killed and start again. They refuse 299 of 300 requests of the service with 503, and write running and rolled_back over done.

Cause: the state that the holder of the duties reports to the operator was never read. A started gateway took the operator's order for a rollout that begins, so that it wanted the old version for all requests but the trial; with few requests there was too little evidence by the deadline.

The same cause on a related path: a holder that stopped right after its report was succeeded by one that reported running over it; a new holder reads what was reported before it reports anything.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -40,6 +40,8 @@
 	OrderUpstreams(ctx context.Context, fence int64, service string, c DesiredCapacity) error
 	// ReportRollout reports the state of a rollout to the operator.
 	ReportRollout(ctx context.Context, o gateway.RolloutOrder) error
+	// RolloutStatuses returns the states of rollouts that were reported to the operator.
+	RolloutStatuses(ctx context.Context) ([]gateway.RolloutStatus, error)
 }
 
 const (
@@ -84,6 +86,8 @@
 	reportedRollouts map[string]gateway.RolloutState
 	// rolloutReportsLost reports that the store was restored since the rollouts were reported; those that have ended are reported again.
 	rolloutReportsLost bool
+	// rolloutStatusesRead reports that the rollouts that earlier holders reported were read since this gateway took the lease.
+	rolloutStatusesRead bool
 	// unanswered reports that the cloud did not reply to a call, which it may still carry out.
 	unanswered bool
 }
@@ -203,7 +207,7 @@
 	}
 	taken, err := r.lease.ClaimAppended(value, at, now)
 	if taken {
-		r.reported, r.orders = map[int64]bool{}, map[orderKey]*upstreamOrder{}
+		r.reported, r.orders, r.rolloutStatusesRead = map[int64]bool{}, map[orderKey]*upstreamOrder{}, false
 		r.log.Write(rail.EventDutyAcquired, gateway.NewField("fence", r.lease.Fence()), gateway.NewField("offset", at))
 	}
 	return err
@@ -363,13 +367,14 @@
 
 // reportRollouts reports each change of a rollout to the operator.
 func (r *Runner) reportRollouts(ctx context.Context) {
-	var verdicts map[string]gateway.RolloutOrder
-	r.gateway.View(func(s *gateway.State) {
-		verdicts = s.Verdicts()
-		if r.rolloutReportsLost {
-			maps.Copy(verdicts, s.EndedRollouts())
+	verdicts := r.verdicts()
+	if len(verdicts) > 0 && !r.rolloutStatusesRead {
+		if err := r.readRolloutStatuses(ctx); err != nil {
+			r.handleLeaseError(err)
+			return
 		}
-	})
+		verdicts = r.verdicts()
+	}
 	for _, o := range verdicts {
 		k := o.Service() + "/" + o.Target()
 		if r.reportedRollouts[k] == o.State() {
@@ -386,3 +391,30 @@
 	}
 	r.rolloutReportsLost = false
 }
+
+// verdicts returns the rollouts whose states are to be reported, by service.
+func (r *Runner) verdicts() map[string]gateway.RolloutOrder {
+	var verdicts map[string]gateway.RolloutOrder
+	r.gateway.View(func(s *gateway.State) {
+		verdicts = s.Verdicts()
+		if r.rolloutReportsLost {
+			maps.Copy(verdicts, s.EndedRollouts())
+		}
+	})
+	return verdicts
+}
+
+// readRolloutStatuses reads what earlier holders reported: one of them may have stopped before its peers knew that a rollout has ended.
+func (r *Runner) readRolloutStatuses(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	statuses, err := r.cloud.RolloutStatuses(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range statuses {
+		r.gateway.Post(gateway.NewRolloutStatusRead(s))
+	}
+	r.rolloutStatusesRead = true
+	return nil
+}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -51,6 +51,7 @@
 func (noCloud) ReportUsage(context.Context, int64, int64, map[string]int64) error    { return nil }
 func (noCloud) OrderUpstreams(context.Context, int64, string, DesiredCapacity) error { return nil }
 func (noCloud) ReportRollout(context.Context, gateway.RolloutOrder) error            { return nil }
+func (noCloud) RolloutStatuses(context.Context) ([]gateway.RolloutStatus, error)     { return nil, nil }
 
 // upToDate is a topic of which everything is known.
 type upToDate struct{}
@@ -252,6 +253,16 @@
 type rolloutCloud struct {
 	noCloud
 	states []gateway.RolloutState
+	// stored are the statuses of earlier holders; unavailable reports whether they cannot be read.
+	stored      []gateway.RolloutStatus
+	unavailable bool
+}
+
+func (c *rolloutCloud) RolloutStatuses(context.Context) ([]gateway.RolloutStatus, error) {
+	if c.unavailable {
+		return nil, errUnavailable
+	}
+	return c.stored, nil
 }
 
 func (c *rolloutCloud) ReportRollout(_ context.Context, o gateway.RolloutOrder) error {
@@ -284,3 +295,31 @@
 		is.Equal(cloud.states[1:], []gateway.RolloutState{gateway.RolloutDone}) // Once.
 	})
 }
+
+// Guards against a holder that reports "running" over the end that an earlier one reported before its peers knew.
+func TestNextHolderKeepsTheReportedEndOfARollout(t *testing.T) {
+	for _, end := range []gateway.RolloutState{gateway.RolloutDone, gateway.RolloutRolledBack} {
+		t.Run(string(end), func(t *testing.T) {
+			simtime.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				cloud := &rolloutCloud{stored: []gateway.RolloutStatus{gateway.NewRolloutStatus("desk", "v2", end)}, unavailable: true}
+				start := time.Now()
+				g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
+				r := New(NewLease("gateway-1", "first", testLength, 0), g, &unreliableTopic{}, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
+				g.Post(gateway.NewRolloutRead(gateway.NewRolloutOrder("desk", "v2", time.Minute, gateway.RolloutRunning)))
+				tick := func() {
+					for range 5 {
+						time.Sleep(400 * time.Millisecond)
+						r.tick(t.Context())
+					}
+				}
+				tick()
+				is.Equal(len(cloud.states), 0) // Nothing is reported before it is known what was.
+				cloud.unavailable = false
+				tick()
+				is.Equal(len(cloud.states), 0)
+				g.View(func(s *gateway.State) { is.Equal(s.EndedRollouts()["desk"].State(), end) })
+			})
+		})
+	}
+}
--- a/duty/handover_test.go
+++ b/duty/handover_test.go
@@ -286,6 +286,10 @@
 
 func (p *dutyProcess) ReportRollout(context.Context, gateway.RolloutOrder) error { return nil }
 
+func (p *dutyProcess) RolloutStatuses(context.Context) ([]gateway.RolloutStatus, error) {
+	return nil, nil
+}
+
 // start starts a process on the machine.
 func (n *dutyNode) start() {
 	n.starts++
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -7,29 +7,6 @@
 	"dandelionrail.org/rail"
 )
 
-// RolloutState is the state of a rollout.
-type RolloutState string
-
-// The values of RolloutState.
-const (
-	RolloutRunning    RolloutState = "running"
-	RolloutDone       RolloutState = "done"
-	RolloutRolledBack RolloutState = "rolledBack"
-)
-
-// RolloutOrder requests that a service's traffic move to a version within a period.
-type RolloutOrder struct {
-	service string
-	target  string
-	period  time.Duration
-	state   RolloutState
-}
-
-// NewRolloutOrder returns the order; state is the verdict for this target in the store, or running.
-func NewRolloutOrder(service, target string, period time.Duration, state RolloutState) RolloutOrder {
-	return RolloutOrder{service: service, target: target, period: period, state: state}
-}
-
 // rollout is a rollout in progress. A small share of the requests goes to the
 // new version until there is enough evidence in its favour. Then the traffic
 // moves in steps, so that a fault that shows late, or under load, shows before
@@ -134,12 +111,24 @@
 	r.end(o.state)
 	s.rollouts[o.service] = r
 	effects := []Effect{report(rail.EventRolloutOrdered, NewField("service", o.service), NewField("version", o.target), NewField("periodMs", o.period.Milliseconds()), NewField("state", string(o.state)))}
+	if status, known := s.rolloutStatuses[o.service]; known && status.concerns(o) {
+		effects = append(effects, s.endRollout(r, status.state, "store")...)
+	}
 	if state, known := s.verdicts[k]; known {
 		effects = append(effects, s.endRollout(r, state, "peer")...)
 	}
 	return effects
 }
 
+// rolloutStatusRead applies a state that a holder of the duties has reported; it stands for an order that is read later too.
+func (s *State) rolloutStatusRead(status RolloutStatus) []Effect {
+	s.rolloutStatuses[status.service] = status
+	if r := s.rollouts[status.service]; r != nil && status.concerns(r.RolloutOrder) {
+		return s.endRollout(r, status.state, "store")
+	}
+	return nil
+}
+
 // end applies the verdict that the holder of the duties reported.
 func (r *rollout) end(state RolloutState) {
 	r.state, r.bad, r.moved = state, state == RolloutRolledBack, state == RolloutDone
@@ -335,15 +324,6 @@
 	return ended
 }
 
-// Service returns the service whose traffic moves.
-func (o RolloutOrder) Service() string { return o.service }
-
-// Target returns the version that the traffic moves to.
-func (o RolloutOrder) Target() string { return o.target }
-
-// State returns the state of the rollout.
-func (o RolloutOrder) State() RolloutState { return o.state }
-
 // versionRule decides which versions may serve a call.
 type versionRule struct {
 	rollout *rollout
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -33,6 +33,8 @@
 	versions map[versionKey]tally
 	speeds   map[speedKey]speed
 	rollouts map[string]*rollout
+	// rolloutStatuses are those that were read from the store, by service.
+	rolloutStatuses map[string]RolloutStatus
 	// superseded marks the versions whose rollouts were superseded by others.
 	superseded map[versionKey]bool
 	// verdicts are those that peers reported.
@@ -62,7 +64,7 @@
 	return &State{
 		settings: s, now: s.startedAt, registry: newRegistry(), clock: newClock(s.startedAt), quotas: map[string]*quota{},
 		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, peers: map[string]*peer{}, registrations: newRegistrations(),
-		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, rollouts: map[string]*rollout{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), ends: map[upstreamStart]time.Time{}, partitions: map[string]*partition{}, partitionedPeers: map[string]map[string]bool{}, hops: map[string]*target{}, arrivals: newArrivals(s.startedAt),
+		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, rollouts: map[string]*rollout{}, rolloutStatuses: map[string]RolloutStatus{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), ends: map[upstreamStart]time.Time{}, partitions: map[string]*partition{}, partitionedPeers: map[string]map[string]bool{}, hops: map[string]*target{}, arrivals: newArrivals(s.startedAt),
 	}
 }
 
@@ -105,6 +107,8 @@
 		s.peersRead(e)
 	case RolloutRead:
 		return s.rolloutRead(e.order)
+	case RolloutStatusRead:
+		return s.rolloutStatusRead(e.status)
 	case SuspectsRead:
 		s.quarantine.applyStored(e.suspects, e.full)
 	case SettingsRead:
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -37,6 +37,7 @@
 type Batch struct {
 	records []Record
 	next    Position
+	events  []Event
 }
 
 // NewBatch returns the records and the offset to read from next.
@@ -50,6 +51,12 @@
 	return b
 }
 
+// WithEvents returns the batch with events to post before those of its records.
+func (b Batch) WithEvents(events []Event) Batch {
+	b.events = events
+	return b
+}
+
 // Era returns the era of the store that the records and their offsets belong to.
 func (b Batch) Era() int64 { return b.next.era }
 
@@ -372,7 +379,7 @@
 	if len(b.records) == 0 && !full {
 		return
 	}
-	for _, e := range w.topic.Events(b.records, full, source) {
+	for _, e := range slices.Concat(b.events, w.topic.Events(b.records, full, source)) {
 		w.gateway.Post(e)
 	}
 }
