gateway: a version that is ordered again is evaluated anew

Cause: how a rollout ended was kept by service and version for the life of a process, and applied to each later order of that version; so was its evidence. A version that was rolled back and mended never moved, for the same reason.

Change: an order is identified by the era of the store and the offset of its record. Verdicts, tallies and speeds in digests and the status in the store name the order (new optional fields); those of another order do not count. A record that is read again, or written again after a restore, is the same order. A version that serves already is done at once. Topic.Events gets the batch, which has the era.

Builds beside each other: an older gateway's reports without ids count as docs/platform.md says; it ignores the ids and reads the latest tally of a version last. Both directions are tested.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -83,7 +83,7 @@
 	// the cloud's last refusal.
 	spotUnavailable  map[string]bool
 	refusedAt        time.Time
-	reportedRollouts map[string]gateway.RolloutState
+	reportedRollouts map[string]gateway.RolloutOrder
 	// rolloutReportsLost reports that the store was restored since the rollouts were reported; those that have ended are reported again.
 	rolloutReportsLost bool
 	// rolloutStatusesRead reports that the rollouts that earlier holders reported were read since this gateway took the lease.
@@ -96,7 +96,7 @@
 func New(l *Lease, g *gateway.Gateway, topic Topic, cloud Cloud, operator OperatorTopic, log gateway.Log, now func() time.Duration, usage, scale bool) *Runner {
 	return &Runner{
 		lease: l, gateway: g, topic: topic, cloud: cloud, operator: operator, log: log, now: now, started: now(), usage: usage, scale: scale,
-		reported: map[int64]bool{}, plans: map[string]*Plan{}, orders: map[orderKey]*upstreamOrder{}, spotUnavailable: map[string]bool{}, listed: map[string]listing{}, inRollout: map[string]bool{}, reportedRollouts: map[string]gateway.RolloutState{},
+		reported: map[int64]bool{}, plans: map[string]*Plan{}, orders: map[orderKey]*upstreamOrder{}, spotUnavailable: map[string]bool{}, listed: map[string]listing{}, inRollout: map[string]bool{}, reportedRollouts: map[string]gateway.RolloutOrder{},
 	}
 }
 
@@ -376,15 +376,14 @@
 		verdicts = r.verdicts()
 	}
 	for _, o := range verdicts {
-		k := o.Service() + "/" + o.Target()
-		if r.reportedRollouts[k] == o.State() {
+		if r.reportedRollouts[o.Service()] == o {
 			continue
 		}
 		if err := r.callCloud(ctx, func(ctx context.Context) error { return r.cloud.ReportRollout(ctx, o) }); err != nil {
 			r.handleLeaseError(err)
 			return
 		}
-		r.reportedRollouts[k] = o.State()
+		r.reportedRollouts[o.Service()] = o
 		if o.State() != gateway.RolloutRunning {
 			r.gateway.Post(gateway.NewRolloutRead(o))
 		}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -302,7 +302,7 @@
 		t.Run(string(end), func(t *testing.T) {
 			simtime.Run(t, func(t *testing.T) {
 				is := is.New(t)
-				cloud := &rolloutCloud{stored: []gateway.RolloutStatus{gateway.NewRolloutStatus("desk", "v2", end)}, unavailable: true}
+				cloud := &rolloutCloud{stored: []gateway.RolloutStatus{gateway.NewRolloutStatus("desk", "v2", end, gateway.OrderID{})}, unavailable: true}
 				start := time.Now()
 				g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
 				r := New(NewLease("gateway-1", "first", testLength, 0), g, &unreliableTopic{}, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
@@ -323,3 +323,25 @@
 		})
 	}
 }
+
+// Guards against an operator that reads nothing of an order because the same version was ordered before.
+func TestEachOrderOfAVersionIsReported(t *testing.T) {
+	simtime.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		cloud := &rolloutCloud{}
+		start := time.Now()
+		g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
+		r := New(NewLease("gateway-1", "first", testLength, 0), g, &unreliableTopic{}, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
+		for i, version := range []string{"v2", "v1", "v2"} {
+			o := gateway.NewRolloutOrder("desk", version, time.Minute, gateway.RolloutRunning).WithID(gateway.OrderIDFrom(0, int64(i+1)))
+			g.Post(gateway.NewRolloutRead(o))
+			for range 5 {
+				time.Sleep(400 * time.Millisecond)
+				r.tick(t.Context())
+			}
+			is.Equal(cloud.states, []gateway.RolloutState{gateway.RolloutRunning})
+			cloud.states = nil
+			g.Post(gateway.NewRolloutRead(gateway.NewRolloutOrder("desk", version, time.Minute, gateway.RolloutDone).WithID(o.ID())))
+		}
+	})
+}
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,8 +28,11 @@
 	l.add(Load{running: -o.running, waitingTokens: -o.waitingTokens, heldTokens: -o.heldTokens})
 }
 
-// versionKey identifies a version of a service.
-type versionKey struct{ service, version string }
+// versionKey identifies a version of a service during an order.
+type versionKey struct {
+	service, version string
+	order            OrderID
+}
 
 // tally counts the outcomes of requests sent to a version. Those that broke off are not among the bad ones: the end of one upstream
 // breaks off all that it has in progress.
@@ -118,9 +122,7 @@
 		sum.add(v)
 		d.speeds[k] = sum
 	}
-	for k, state := range p.digest.verdicts {
-		d.verdicts.add(k, state)
-	}
+	d.verdicts.addIdentified(p.digest.verdicts)
 	d.demand += p.digest.demand
 	if age < maxLoadAge {
 		for id, l := range p.digest.loads {
@@ -179,14 +181,15 @@
 	for n, counts := range d.usage {
 		m.Usage = append(m.Usage, &railv1.UsageWindow{Number: n, Counts: counts})
 	}
-	for k, t := range d.versions {
-		m.Versions = append(m.Versions, &railv1.VersionTally{Service: k.service, Version: k.version, Good: t.good, Bad: t.bad, BrokenOff: t.brokenOff})
+	for _, k := range slices.SortedFunc(maps.Keys(d.versions), func(a, b versionKey) int { return a.order.compare(b.order) }) {
+		t := d.versions[k] // Older gateways keep the last one of a version.
+		m.Versions = append(m.Versions, &railv1.VersionTally{Service: k.service, Version: k.version, Good: t.good, Bad: t.bad, BrokenOff: t.brokenOff, Order: k.order.message()})
 	}
 	for k, v := range d.speeds {
-		m.Speeds = append(m.Speeds, &railv1.VersionSpeed{Service: k.service, Version: k.version, Route: string(k.route), Count: v.count, Sum: v.sum, Squares: v.squares})
+		m.Speeds = append(m.Speeds, &railv1.VersionSpeed{Service: k.service, Version: k.version, Route: string(k.route), Count: v.count, Sum: v.sum, Squares: v.squares, Order: k.order.message()})
 	}
 	for k, state := range d.verdicts {
-		m.Verdicts = append(m.Verdicts, &railv1.RolloutVerdict{Service: k.service, Version: k.version, Done: state == RolloutDone})
+		m.Verdicts = append(m.Verdicts, &railv1.RolloutVerdict{Service: k.service, Version: k.version, Done: state == RolloutDone, Order: k.order.message()})
 	}
 	for id, n := range d.limits {
 		m.Limits = append(m.Limits, &railv1.UpstreamLimit{Upstream: id, StartedAtMs: n.startedAtMs, Named: n.named, PerSecond: n.perSecond, AtMs: n.at.UnixMilli()})
@@ -233,10 +236,10 @@
 		if v.GetDone() {
 			state = RolloutDone
 		}
-		d.verdicts.add(versionKey{v.GetService(), v.GetVersion()}, state)
+		d.verdicts.add(versionKey{v.GetService(), v.GetVersion(), orderIDFrom(v.GetOrder())}, state)
 	}
 	for _, x := range m.GetSpeeds() {
-		d.speeds[speedKey{x.GetService(), x.GetVersion(), rail.RouteName(x.GetRoute())}] = speed{count: x.GetCount(), sum: x.GetSum(), squares: x.GetSquares()}
+		d.speeds[speedKey{versionKey{x.GetService(), x.GetVersion(), orderIDFrom(x.GetOrder())}, rail.RouteName(x.GetRoute())}] = speed{count: x.GetCount(), sum: x.GetSum(), squares: x.GetSquares()}
 	}
 	for _, x := range m.GetLimits() {
 		limit := RequestLimit{perSecond: x.GetPerSecond(), named: x.GetNamed()}
@@ -249,7 +252,19 @@
 		d.suspects[x.GetPart()] = suspectFrom(x)
 	}
 	for _, t := range m.GetVersions() {
-		d.versions[versionKey{t.GetService(), t.GetVersion()}] = tally{good: t.GetGood(), bad: t.GetBad(), brokenOff: t.GetBrokenOff()}
+		d.versions[versionKey{t.GetService(), t.GetVersion(), orderIDFrom(t.GetOrder())}] = tally{good: t.GetGood(), bad: t.GetBad(), brokenOff: t.GetBrokenOff()}
 	}
 	return d
 }
+
+// message returns the id as a protobuf message, nil if it is not known.
+func (id OrderID) message() *railv1.RolloutOrderID {
+	if !id.Known() {
+		return nil
+	}
+	return &railv1.RolloutOrderID{Era: id.era, Number: id.number}
+}
+
+func orderIDFrom(m *railv1.RolloutOrderID) OrderID {
+	return OrderID{era: m.GetEra(), number: m.GetNumber()}
+}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -92,11 +92,11 @@
 	return b, err
 }
 
-func (t *restorableTopic) Events(records []Record, full bool, source string) []Event {
+func (t *restorableTopic) Events(b Batch, full bool, source string) []Event {
 	if t.decode == nil {
 		return nil
 	}
-	return t.decode(records, full, source)
+	return t.decode(b.records, full, source)
 }
 
 func newTestGateway(name string) *Gateway {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"dandelionrail.org/rail"
@@ -13,9 +14,11 @@
 // most of it has moved, and that cold upstreams do not get all of it at once.
 type rollout struct {
 	RolloutOrder
-	startedAt time.Time
-	steps     int // how many of rolloutSteps have been taken
-	steppedAt time.Time
+	// earlierIDs are those that the order had before the store was restored.
+	earlierIDs []OrderID
+	startedAt  time.Time
+	steps      int // how many of rolloutSteps have been taken
+	steppedAt  time.Time
 	// speedAtStep holds the version's answers before the last step.
 	speedAtStep speed
 	// tallied holds the version's tallies at the evaluations of the last recentTime.
@@ -95,31 +98,100 @@
 }
 
 func (s *State) rolloutRead(o RolloutOrder) []Effect {
-	r, ok := s.rollouts[o.service]
-	if ok && r.target == o.target {
-		return s.endRollout(r, o.state, "store")
+	previous, ok := s.rollouts[o.service]
+	if ok && s.repeats(previous, o) {
+		effects := s.endRollout(previous, o.state, "store")
+		return append(effects, s.adoptID(previous, o.id)...)
 	}
-	k := versionKey{o.service, o.target}
-	if s.superseded[k] && s.now.Sub(s.registry.storeRestoredAt) < supersededHold {
+	k := versionKey{service: o.service, version: o.target}
+	restored := s.now.Sub(s.registry.storeRestoredAt) < supersededHold
+	if (ok && o.id.compare(previous.id) < 0) || (s.superseded[k] && restored) {
 		return nil
 	}
 	if ok {
-		s.superseded[versionKey{r.service, r.target}] = true
+		s.superseded[versionKey{service: o.service, version: previous.target}] = true
 	}
 	delete(s.superseded, k)
-	r = &rollout{RolloutOrder: o, startedAt: s.now}
+	r := &rollout{RolloutOrder: o, startedAt: s.now}
 	r.end(o.state)
+	// A version that serves already has no other one to be compared with.
+	r.moved = r.moved || (ok && previous.target == o.target && previous.state == RolloutDone)
 	s.rollouts[o.service] = r
-	effects := []Effect{report(rail.EventRolloutOrdered, NewField("service", o.service), NewField("version", o.target), NewField("periodMs", o.period.Milliseconds()), NewField("state", string(o.state)))}
+	s.dropEvidence(r)
+	effects := []Effect{report(rail.EventRolloutOrdered, NewField("service", o.service), NewField("version", o.target), NewField("periodMs", o.period.Milliseconds()), NewField("state", string(o.state)),
+		NewField("era", o.id.era), NewField("order", o.id.number))}
 	if status, known := s.rolloutStatuses[o.service]; known && status.concerns(o) {
 		effects = append(effects, s.endRollout(r, status.state, "store")...)
 	}
-	if state, known := s.verdicts[k]; known {
+	effects = append(effects, s.applyKnownVerdict(r)...)
+	if state, known := s.verdicts[k]; known && !ok { // A verdict without an order's id is on the first one that this gateway reads.
 		effects = append(effects, s.endRollout(r, state, "peer")...)
 	}
 	return effects
 }
 
+// repeats reports whether the order that was read is the rollout's: the store was restored and holds its record at the same offset,
+// or the operator has written it again.
+func (s *State) repeats(r *rollout, o RolloutOrder) bool {
+	switch {
+	case r.target != o.target:
+		return false
+	case o.id == r.id || !o.id.Known() || !r.id.Known():
+		return true
+	case o.id.era > r.id.era:
+		return o.id.number == r.id.number || s.now.Sub(s.registry.storeRestoredAt) < supersededHold
+	default:
+		return r.state == RolloutRunning && !r.bad && r.period == o.period
+	}
+}
+
+// adoptID gives the rollout a later id of its order.
+func (s *State) adoptID(r *rollout, id OrderID) []Effect {
+	if id.compare(r.id) <= 0 {
+		return nil
+	}
+	r.earlierIDs = append(r.earlierIDs, r.id)
+	r.id = id
+	versions, speeds := s.versions, s.speeds
+	s.versions, s.speeds = make(map[versionKey]tally, len(versions)), make(map[speedKey]speed, len(speeds))
+	for k, t := range versions {
+		if k.service == r.service {
+			k.order = id
+		}
+		s.versions[k] = t
+	}
+	for k, v := range speeds {
+		if k.service == r.service {
+			k.order = id
+		}
+		s.speeds[k] = v
+	}
+	return s.applyKnownVerdict(r)
+}
+
+// hasID reports whether the id is one of the rollout's order; unknown ones are those of gateways that know one order of each version.
+func (r *rollout) hasID(id OrderID) bool {
+	return !id.Known() || id == r.id || slices.Contains(r.earlierIDs, id)
+}
+
+// applyKnownVerdict applies the verdict on the rollout's order that a peer reported before the order was read.
+func (s *State) applyKnownVerdict(r *rollout) []Effect {
+	if state, known := s.verdicts[versionKey{r.service, r.target, r.id}]; known && r.id.Known() {
+		return s.endRollout(r, state, "peer")
+	}
+	return nil
+}
+
+// dropEvidence drops what is known of the service's earlier orders: a version that served well may fail when it is ordered again.
+func (s *State) dropEvidence(r *rollout) {
+	earlier := func(service string, id OrderID) bool {
+		return service == r.service && id.Known() && id.compare(r.id) < 0
+	}
+	maps.DeleteFunc(s.versions, func(k versionKey, _ tally) bool { return earlier(k.service, k.order) })
+	maps.DeleteFunc(s.speeds, func(k speedKey, _ speed) bool { return earlier(k.service, k.order) })
+	maps.DeleteFunc(s.verdicts, func(k versionKey, _ RolloutState) bool { return earlier(k.service, k.order) })
+}
+
 // rolloutStatusRead applies a state that a holder of the duties has reported; it stands for an order that is read later too.
 func (s *State) rolloutStatusRead(status RolloutStatus) []Effect {
 	s.rolloutStatuses[status.service] = status
@@ -151,7 +223,7 @@
 	return []Effect{report(rail.EventRolloutVerdict, NewField("service", r.service), NewField("version", r.target), NewField("state", string(state)), NewField("source", source))}
 }
 
-// verdicts are the ends of rollouts by version.
+// verdicts are the ends of rollouts by version and order.
 type verdicts map[versionKey]RolloutState
 
 // add adds a verdict and reports whether it is news. Once a version is done its predecessor is stopped, so that this stands
@@ -164,11 +236,22 @@
 	return true
 }
 
+// addIdentified adds the verdicts whose orders are known. The others are passed on by none but the gateways that reached them, since
+// they would be taken for verdicts on later orders.
+func (v verdicts) addIdentified(o verdicts) {
+	for k, state := range o {
+		if k.order.Known() {
+			v.add(k, state)
+		}
+	}
+}
+
 // knownVerdicts returns the verdicts that this gateway knows of its own rollouts and from peers.
 func (s *State) knownVerdicts() verdicts {
-	known := maps.Clone(s.verdicts)
+	known := verdicts{}
+	known.addIdentified(s.verdicts)
 	for _, r := range s.rollouts {
-		k := versionKey{r.service, r.target}
+		k := versionKey{r.service, r.target, r.id}
 		switch {
 		case r.state == RolloutDone:
 			known.add(k, RolloutDone)
@@ -186,7 +269,7 @@
 		if !s.verdicts.add(k, state) {
 			continue
 		}
-		if r := s.rollouts[k.service]; r != nil && r.target == k.version {
+		if r := s.rollouts[k.service]; r != nil && r.target == k.version && r.hasID(k.order) {
 			effects = append(effects, s.endRollout(r, state, d.gateway)...)
 		}
 	}
@@ -198,7 +281,7 @@
 	add := func(vs map[versionKey]tally) {
 		for k, t := range vs {
 			switch {
-			case k.service != r.service:
+			case k.service != r.service || !r.hasID(k.order):
 			case k.version == r.target:
 				target.add(t)
 			default:
@@ -363,18 +446,20 @@
 
 // trackVersion makes the attempt's outcome count for the upstream's version if the service has a rollout.
 func (s *State) trackVersion(p *pendingCall, t *target) {
-	if s.rollouts[t.service] != nil {
-		p.version = versionKey{t.service, t.version}
+	if r := s.rollouts[t.service]; r != nil {
+		p.version = versionKey{t.service, t.version, r.id}
 	}
 }
 
 // recordVersionOutcome records the outcome of an attempt that ended at the time for the upstream's version.
 func (s *State) recordVersionOutcome(p pendingCall, o Outcome, at time.Time) {
-	if p.version.service == "" {
+	if !s.countsForRollout(p.version) {
 		return
 	}
 	kind := o.upstreamKind()
-	v := s.versions[p.version]
+	k := p.version
+	k.order = s.rollouts[k.service].id
+	v := s.versions[k]
 	switch {
 	case kind == rail.KindCancelled:
 	case kind == rail.KindNone && at.Sub(p.sentAt) < slowFactor*max(p.route.goal, time.Millisecond):
@@ -385,7 +470,13 @@
 	default:
 		v.bad++
 	}
-	s.versions[p.version] = v
+	s.versions[k] = v
+}
+
+// countsForRollout reports whether an attempt that was sent under the key counts for the service's present rollout.
+func (s *State) countsForRollout(k versionKey) bool {
+	r := s.rollouts[k.service]
+	return r != nil && r.hasID(k.order)
 }
 
 // slowFactor is the multiple of its goal that an answer may take and still count as good.
--- a/gateway/rolloutstatus_test.go
+++ b/gateway/rolloutstatus_test.go
@@ -58,7 +58,7 @@
 					t.Parallel()
 					is := is.New(t)
 					f := newRolloutFleet(n, 1)
-					f.restartAll(NewRolloutStatus("desk", "v2", c.end), statusFirst, c.kept)
+					f.restartAll(NewRolloutStatus("desk", "v2", c.end, OrderID{}), statusFirst, c.kept)
 					good := func() bool { return false }
 					f.play(time.Second, 100, good) // The quotas of gateways that have just started refuse some.
 					before := f.sent
--- a/gateway/versionspeed.go
+++ b/gateway/versionspeed.go
@@ -8,10 +8,10 @@
 	"dandelionrail.org/rail"
 )
 
-// speedKey identifies the answers of a version on a route.
+// speedKey identifies the answers of a version on a route during an order.
 type speedKey struct {
-	service, version string
-	route            rail.RouteName
+	versionKey
+	route rail.RouteName
 }
 
 // speed sums how long answers took, as the logarithm of the ratio to the time that was expected at the load that they met: the
@@ -96,15 +96,16 @@
 }
 
 func (p *pendingCall) speedKey() speedKey {
-	return speedKey{p.version.service, p.version.version, rail.RouteName(p.route.name)}
+	return speedKey{p.version, rail.RouteName(p.route.name)}
 }
 
 // recordSpeed records how long a complete answer took.
 func (s *State) recordSpeed(p *pendingCall, o Outcome) {
-	if o.kind != rail.KindNone || !p.tellsSpeed() {
+	if o.kind != rail.KindNone || !p.tellsSpeed() || !s.countsForRollout(p.version) {
 		return
 	}
 	k := p.speedKey()
+	k.order = s.rollouts[k.service].id
 	v := s.speeds[k]
 	v.addRatio(s.speedRatio(p, int64(o.events)*eventTokens))
 	s.speeds[k] = v
@@ -117,11 +118,12 @@
 		return current
 	}
 	for c, p := range s.calls {
-		if !p.tellsSpeed() || !p.service.isEngine() || s.suspectsPartition(p.service.name) {
+		if !p.tellsSpeed() || !s.countsForRollout(p.version) || !p.service.isEngine() || s.suspectsPartition(p.service.name) {
 			continue
 		}
 		if ratio := s.speedRatio(p, c.output); ratio >= lateRatio {
 			k := p.speedKey()
+			k.order = s.rollouts[k.service].id
 			v := current[k]
 			v.addRatio(ratio)
 			current[k] = v
@@ -144,7 +146,7 @@
 	x := rolloutSpeeds{byRoute: map[rail.RouteName]versionSpeeds{}}
 	add := func(speeds map[speedKey]speed) {
 		for k, v := range speeds {
-			if k.service != r.service {
+			if k.service != r.service || !r.hasID(k.order) {
 				continue
 			}
 			route := x.byRoute[k.route]
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -77,8 +77,8 @@
 	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context) (Batch, error)
-	// Events decodes the records to events; full reports whether there are no other keys, source is where the records come from.
-	Events(records []Record, full bool, source string) []Event
+	// Events decodes the batch's records to events; full reports whether there are no other keys, source is where the records come from.
+	Events(b Batch, full bool, source string) []Event
 }
 
 // MirrorClient fetches records from peers that have read them.
@@ -379,7 +379,7 @@
 	if len(b.records) == 0 && !full {
 		return
 	}
-	for _, e := range slices.Concat(b.events, w.topic.Events(b.records, full, source)) {
+	for _, e := range slices.Concat(b.events, w.topic.Events(b, full, source)) {
 		w.gateway.Post(e)
 	}
 }
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -38,7 +38,7 @@
 
 func (t *unavailableTopic) Newest(ctx context.Context) (Batch, error) { return t.Read(ctx, 0, 0) }
 
-func (t *unavailableTopic) Events([]Record, bool, string) []Event { return nil }
+func (t *unavailableTopic) Events(Batch, bool, string) []Event { return nil }
 
 // noMirror is a peer service that no peer answers.
 type noMirror struct{}
@@ -219,7 +219,7 @@
 
 func (t *growingTopic) Newest(ctx context.Context) (Batch, error) { return t.Read(ctx, 0, 0) }
 
-func (t *growingTopic) Events([]Record, bool, string) []Event { return nil }
+func (t *growingTopic) Events(Batch, bool, string) []Event { return nil }
 
 // A decision that needs the newest records reads them while the watcher waits for others.
 func TestRefreshDuringARead(t *testing.T) {
@@ -265,7 +265,7 @@
 	return NewBatch(slices.Collect(maps.Values(newest)), int64(len(t.records))), nil
 }
 
-func (t *logTopic) Events([]Record, bool, string) []Event { return nil }
+func (t *logTopic) Events(Batch, bool, string) []Event { return nil }
 
 // peerMirror mirrors the watcher of one peer.
 type peerMirror struct{ watcher *Watcher }
