gateway: a refusal of one service does not eject a peer for all

Cause: recordHop took each refusal that named no upstream for a failure of the peer and ejected it for a second, for all services. A refused request tries three peers, so that a few of them a second keep all peers ejected.

Change: each kind of refusal has a scope, the peer, the service at that peer or the call (refusalScopes). A call is not forwarded twice to a peer that refused it.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -33,6 +33,8 @@
 	version       versionKey
 	// peer is the name of the peer that makes the current attempt, empty if this gateway does.
 	peer string
+	// refusedBy are the names of the peers that refused the call.
+	refusedBy []string
 	// hops counts the forwards that reached no upstream, unreachable the upstreams that were not reached.
 	hops, unreachable int
 	// triedIDs are the ids of the upstreams that must not get the call again.
@@ -511,7 +513,7 @@
 // hasNext reports whether there is an upstream that suits, or another peer, for the next attempt of a call.
 func (s *State) hasNext(c *Call, p *pendingCall, suits func(*target) bool) bool {
 	if p.peer != "" || s.partitioned(p.service.name) {
-		return p.hops < maxForwards && slices.ContainsFunc(s.forwardPeers(p.service.name), func(name string) bool { return name != p.peer })
+		return p.hops < maxForwards && slices.ContainsFunc(s.peersFor(p), func(name string) bool { return name != p.peer })
 	}
 	next, _ := s.chooseUpstream(c, p)
 	return next != nil && suits(next)
--- a/gateway/forwardfleet_test.go
+++ b/gateway/forwardfleet_test.go
@@ -105,11 +105,16 @@
 	if f.dead[name] {
 		return
 	}
-	f.sent++
-	path := "/orders/lookup/" + strconv.Itoa(f.sent)
+	path := "/orders/lookup/" + strconv.Itoa(f.sent+1)
 	if f.random.IntN(2) == 0 {
-		path = "/orders/" + strconv.Itoa(f.sent)
+		path = "/orders/" + strconv.Itoa(f.sent+1)
 	}
+	f.sendTo(name, path)
+}
+
+// sendTo sends a request with the path to the gateway.
+func (f *forwardFleet) sendTo(name, path string) {
+	f.sent++
 	c := NewCall("r-"+strconv.Itoa(f.sent), path, "key-1", NewMessage("POST", path, "shop.example", nil, []byte("body")), f.now, f.now.Add(1500*time.Millisecond))
 	x := &simulatedCall{call: c, sentAt: f.now, gateway: name}
 	f.calls = append(f.calls, x)
@@ -571,3 +576,55 @@
 		})
 	}
 }
+
+// limitAll adds upstreams of another service, each of which names a limit of one request a second.
+func (f *forwardFleet) limitAll(upstreams, domains int) {
+	var changes []UpstreamChange
+	for i := range upstreams {
+		u := NewUpstream("limited-"+strconv.Itoa(i), "models", "127.0.0.1:2", "domain-"+strconv.Itoa(i%domains), 1).WithSlots(64, 0)
+		f.engines[u.id] = &simulatedEngine{told: map[string]time.Time{}, upstream: u}
+		changes = append(changes, UpstreamSet(u))
+	}
+	for _, s := range f.states {
+		s.Reduce(f.now, NewUpstreamsRead(changes, false, "store"))
+		for i := range upstreams {
+			s.applyLimitNews(s.registry.targets["limited-"+strconv.Itoa(i)], limitNews{RequestLimit: RequestLimit{perSecond: 1, named: true}, startedAtMs: 1, at: f.now}, "upstream")
+		}
+	}
+}
+
+// Guards against a peer that gets no calls of any service because it has no room for those of one (RECOVER).
+func TestRefusalsOfOneServiceDoNotEjectPeers(t *testing.T) {
+	for _, size := range forwardFleetSizes {
+		for how, name := range []string{"refused", "dials time out", "hang", "break"} {
+			t.Run(fmt.Sprintf("%d gateways, %s", size.gateways, name), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newForwardFleet(size.gateways, size.domains, size.upstreams, 1)
+				f.limitAll(4, size.domains)
+				play := func(d time.Duration) {
+					for end := f.now.Add(d); f.now.Before(end); {
+						for _, name := range f.names {
+							for range f.count(size.perSecond / 4) {
+								f.sendTo(name, "/drafts/"+strconv.Itoa(f.sent+1))
+							}
+							for range f.count(size.perSecond) {
+								f.send(name)
+							}
+						}
+						f.engineFleet.play(simulationStep, load{})
+					}
+				}
+				play(2 * time.Second)
+				cut := f.partition(cutForm(how), inDomain1)
+				begin := f.now
+				play(9 * time.Second)
+				f.calls = slices.DeleteFunc(f.calls, func(x *simulatedCall) bool { return !strings.HasPrefix(x.call.path, "/orders/") })
+				atCut, atOthers := f.servedShares(begin.Add(contactTime), func(name string) bool { return cut[name] })
+				t.Logf("served %.3f at partitioned gateways, %.3f at others", atCut, atOthers)
+				is.True(atCut >= atOthers*2/3)
+				is.True(atOthers > 0.99)
+			})
+		}
+	}
+}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -10,7 +10,7 @@
 const (
 	// maxForwards bounds the forwards of one call that reached no upstream.
 	maxForwards = 3
-	// peerEjection is how long a peer gets no forwards after it refused one or was not reached.
+	// peerEjection is how long a peer gets no forwards after it was not reached, or none of a service that it refused.
 	peerEjection = time.Second
 	// minUnreachable is the number of upstreams that a call must have found unreachable before it is forwarded.
 	minUnreachable = 2
@@ -19,14 +19,54 @@
 	hopMargin = 200 * time.Millisecond
 )
 
-// hop returns what stands for the peer in attempts that it makes; it is in no list of upstreams.
-func (s *State) hop(peer string, r Registration) *target {
-	t, ok := s.hops[peer]
-	if !ok || t.address != r.forwardAddress {
-		t = &target{Upstream: NewUpstream("", "", r.forwardAddress, r.domain, 0), cache: newCache()}
-		s.hops[peer] = t
-	}
-	return t
+// hop is what this gateway knows of a peer from forwards.
+type hop struct {
+	// target stands for the peer in the attempts that it makes; it is in no list of upstreams.
+	target *target
+	// refusedUntil holds until when the peer gets no calls of a service, by the service's name.
+	refusedUntil map[string]time.Time
+}
+
+// accepts reports whether the peer may get calls of the service.
+func (h *hop) accepts(service string, now time.Time) bool {
+	return h.target.health.available(now) && !now.Before(h.refusedUntil[service])
+}
+
+// hop returns what is known of the peer.
+func (s *State) hop(peer string, r Registration) *hop {
+	h, ok := s.hops[peer]
+	if !ok || h.target.address != r.forwardAddress {
+		h = &hop{target: &target{Upstream: NewUpstream("", "", r.forwardAddress, r.domain, 0), cache: newCache()}, refusedUntil: map[string]time.Time{}}
+		s.hops[peer] = h
+	}
+	return h
+}
+
+// refusalScope is what a peer's refusal tells of.
+type refusalScope int
+
+const (
+	// ofPeer is a refusal of a peer that accepts no call.
+	ofPeer refusalScope = iota
+	// ofService is a refusal of a peer that has no room for the service, or does not reach it.
+	ofService
+	// ofCall is a refusal that tells nothing of other calls, or only until the peer has the configuration that admitted them.
+	ofCall
+)
+
+// refusalScopes holds the scopes of the kinds with which a peer refuses a call as not run. Those that are not listed are of the peer.
+var refusalScopes = map[rail.Kind]refusalScope{
+	rail.KindPeerUnreachable:     ofPeer,
+	rail.KindLeaving:             ofPeer,
+	rail.KindOverloaded:          ofService,
+	rail.KindNoUpstream:          ofService,
+	rail.KindUpstreamUnreachable: ofService,
+	rail.KindNotReady:            ofCall,
+	rail.KindUnknownRoute:        ofCall,
+	rail.KindUnknownTeam:         ofCall,
+	rail.KindQuarantined:         ofCall,
+	rail.KindUpstreamFull:        ofCall, // The upstream's; its load tells the peer.
+	rail.KindUpstreamReplaced:    ofCall,
 }
 
 // forwardPeers returns the names of the peers that accept forwarded calls and may reach the service, in order.
@@ -36,7 +76,7 @@
 		if r.forwardAddress == "" || s.partitionedPeers[service][name] || !s.peerAlive(name, r) {
 			continue
 		}
-		if t, ok := s.hops[name]; ok && t.address == r.forwardAddress && !t.health.available(s.now) {
+		if h, ok := s.hops[name]; ok && h.target.address == r.forwardAddress && !h.accepts(service, s.now) {
 			continue
 		}
 		names = append(names, name)
@@ -54,15 +94,15 @@
 	return s.cells != nil && known && s.now.Sub(receivedAt) < domainTimeout
 }
 
-// choosePeer selects a peer for the call, false if there is none. Those of this gateway's domain come first unless one of them has
-// refused or was not reached lately.
+// choosePeer selects a peer that has not refused the call, false if there is none. Those of this gateway's domain come first unless
+// one of them has refused the service or was not reached lately.
 func (s *State) choosePeer(c *Call, p *pendingCall) (string, bool) {
 	if p.hops >= maxForwards {
 		return "", false
 	}
-	candidates := s.forwardPeers(p.service.name)
+	candidates := s.peersFor(p)
 	near := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool { return s.registrations.byName[name].domain != s.settings.domain })
-	if len(near) > 0 && !s.nearPeersFail() {
+	if len(near) > 0 && !s.nearPeersFail(p.service.name) {
 		candidates = near
 	}
 	best := ""
@@ -74,10 +114,15 @@
 	return best, best != ""
 }
 
-// nearPeersFail reports whether a peer of this gateway's domain is ejected.
-func (s *State) nearPeersFail() bool {
-	for name, t := range s.hops {
-		if t.domain == s.settings.domain && !t.health.available(s.now) && s.registrations.byName[name].forwardAddress == t.address {
+// peersFor returns the names of the peers that may get the call next.
+func (s *State) peersFor(p *pendingCall) []string {
+	return slices.DeleteFunc(s.forwardPeers(p.service.name), func(name string) bool { return slices.Contains(p.refusedBy, name) })
+}
+
+// nearPeersFail reports whether a peer of this gateway's domain gets no calls of the service.
+func (s *State) nearPeersFail(service string) bool {
+	for name, h := range s.hops {
+		if h.target.domain == s.settings.domain && !h.accepts(service, s.now) && s.registrations.byName[name].forwardAddress == h.target.address {
 			return true
 		}
 	}
@@ -89,7 +134,7 @@
 	r := s.registrations.byName[peer]
 	f := NewForward(peer, r.forwardAddress, r.accessKey, p.teamName(), s.config.version, slices.Clone(p.triedIDs), p.runsLeft())
 	p.attempts++
-	p.target, p.peer, p.version = s.hop(peer, r), peer, versionKey{}
+	p.target, p.peer, p.version = s.hop(peer, r).target, peer, versionKey{}
 	p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = false, false, false, s.now, s.now
 	p.load = Load{running: 1}
 	p.target.ownLoad.add(p.load)
@@ -129,21 +174,28 @@
 
 // recordHop records what the outcome of a forward tells of the peer; what it tells of the upstream is recorded there.
 func (s *State) recordHop(c *Call, p *pendingCall, o Outcome) []Effect {
-	unreached := o.kind == rail.KindUpstreamUnreachable
-	if o.placement != "" && !unreached {
+	if o.placement != "" && o.kind != rail.KindUpstreamUnreachable {
 		p.triedIDs = append(p.triedIDs, o.placement)
 		if t, ok := s.registry.targets[o.placement]; ok {
 			p.tried[t] = true
 		}
 	}
-	broken := o.kind == rail.KindUpstreamFailed && o.placement == ""
-	if refused := p.refusedByPeer(o); refused || unreached || broken || o.kind == rail.KindUpstreamSilent {
-		p.target.health.ejectedUntil = s.now.Add(peerEjection)
-		if refused {
-			return []Effect{report(rail.EventForwardRefused, NewField("request", c.id), NewField("peer", p.peer), NewField("kind", string(o.kind)))}
-		}
+	h := s.hops[p.peer]
+	if h == nil || h.target != p.target {
+		return nil // The peer was removed, or has started again at another address.
+	}
+	refused := o.kind.Reply().Run() == rail.NotRun
+	switch broken := o.placement == "" && (o.kind == rail.KindUpstreamFailed || o.kind == rail.KindUpstreamSilent); {
+	case broken, refused && refusalScopes[o.kind] == ofPeer:
+		h.target.health.ejectedUntil = s.now.Add(peerEjection)
+	case refused && refusalScopes[o.kind] == ofService:
+		h.refusedUntil[p.service.name] = s.now.Add(peerEjection)
+	}
+	if !p.refusedByPeer(o) {
+		return nil
 	}
-	return nil
+	p.refusedBy = append(p.refusedBy, p.peer)
+	return []Effect{report(rail.EventForwardRefused, NewField("request", c.id), NewField("service", p.service.name), NewField("peer", p.peer), NewField("kind", string(o.kind)))}
 }
 
 // forwardedArrived decides to which upstream a call that a peer forwarded is sent. The peer has charged it to its team and counts it.
--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -228,3 +229,56 @@
 	_, forwarded := h.arrive(h.call("/orders/1")).(Send).Forward()
 	is.True(!forwarded)
 }
+
+// What a peer's refusal tells of gets no further forwards for a second: the peer, its service, or nothing but the call.
+func TestScopeOfARefusal(t *testing.T) {
+	for _, c := range []struct {
+		outcome           Outcome
+		sameCall          bool // The peer may get the same call again.
+		service, anything bool // It gets other calls of the service, calls of another one.
+	}{
+		{Outcome{kind: rail.KindPeerUnreachable}, false, false, false},
+		{Outcome{kind: rail.KindLeaving}, false, false, false},
+		{Outcome{kind: rail.KindUpstreamFailed}, true, false, false},
+		{Outcome{kind: rail.KindUpstreamSilent}, true, false, false},
+		{Outcome{kind: rail.KindOverloaded}, false, false, true},
+		{Outcome{kind: rail.KindNoUpstream}, false, false, true},
+		{Outcome{kind: rail.KindUpstreamUnreachable, placement: "a"}, true, false, true},
+		{Outcome{kind: rail.KindNotReady}, false, true, true},
+		{Outcome{kind: rail.KindUnknownRoute}, false, true, true},
+		{Outcome{kind: rail.KindUnknownTeam}, false, true, true},
+		{Outcome{kind: rail.KindQuarantined}, false, true, true},
+		{Outcome{kind: rail.KindUpstreamFull, placement: "a"}, true, true, true},
+		{Outcome{kind: rail.KindUpstreamReplaced, placement: "a"}, true, true, true},
+		{Outcome{kind: rail.KindUpstreamSilent, placement: "a"}, true, true, true},
+		{Outcome{kind: rail.KindUpstreamFailed, placement: "a", answered: true, status: 500}, true, true, true},
+	} {
+		t.Run(string(c.outcome.kind)+" "+c.outcome.placement, func(t *testing.T) {
+			is := is.New(t)
+			h := newPartitionedHarness(t, "gateway-2")
+			forwarded := func(path string) bool {
+				e, ok := h.arrive(h.call(path)).(Send)
+				return ok && e.forward != nil
+			}
+			call := h.call("/orders/lookup/1")
+			_, ok := h.arrive(call).(Send).Forward()
+			is.True(ok)
+			p := h.state.calls[call]
+			h.end(call, c.outcome)
+			is.Equal(!slices.Contains(p.refusedBy, "gateway-2"), c.sameCall)
+			is.Equal(forwarded("/orders/2"), c.service)
+			is.Equal(forwarded("/drafts/2"), c.anything)
+			h.advance(peerEjection).digest("gateway-2", func(*Digest) {})
+			is.True(forwarded("/orders/3"))
+			is.True(forwarded("/drafts/3"))
+		})
+	}
+}
+
+// A kind that may have run is no refusal.
+func TestKindsWithAScopeAreNotRun(t *testing.T) {
+	is := is.New(t)
+	for kind := range refusalScopes {
+		is.Equal(kind.Reply().Run(), rail.NotRun)
+	}
+}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -279,7 +279,7 @@
 // registrationsChanged updates what is derived from the registered gateways.
 func (s *State) registrationsChanged() {
 	s.registeredRevision++
-	maps.DeleteFunc(s.hops, func(name string, _ *target) bool {
+	maps.DeleteFunc(s.hops, func(name string, _ *hop) bool {
 		_, registered := s.registrations.byName[name]
 		return !registered
 	})
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -46,8 +46,8 @@
 	// partitions are those of this gateway by service, partitionedPeers those of others by service and name.
 	partitions       map[string]*partition
 	partitionedPeers map[string]map[string]bool
-	// hops stand for the peers in attempts that they make.
-	hops          map[string]*target
+	// hops holds what is known of the peers from forwards, by name.
+	hops          map[string]*hop
 	demand        int64
 	fence         int64
 	sequence      int64
@@ -64,7 +64,7 @@
 	return &State{
 		settings: s, now: s.startedAt, registry: newRegistry(), clock: newClock(s.startedAt), quotas: map[string]*quota{},
 		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, peers: map[string]*peer{}, registrations: newRegistrations(),
-		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, rollouts: map[string]*rollout{}, rolloutStatuses: map[string]RolloutStatus{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), ends: map[upstreamStart]time.Time{}, partitions: map[string]*partition{}, partitionedPeers: map[string]map[string]bool{}, hops: map[string]*target{}, arrivals: newArrivals(s.startedAt),
+		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, rollouts: map[string]*rollout{}, rolloutStatuses: map[string]RolloutStatus{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), ends: map[upstreamStart]time.Time{}, partitions: map[string]*partition{}, partitionedPeers: map[string]map[string]bool{}, hops: map[string]*hop{}, arrivals: newArrivals(s.startedAt),
 	}
 }
 
