gateway: a gateway whose peers report nothing recent reads the operator's topic

Cause, suspected: four gateways read the operator's topic, the others learn from digests that there is more. Where this fails while the peers still answer, a gateway reads the store itself only after 8 s, in a fleet of 91 after 72 s: the age of what it knows was bounded for the upstreams only.

Change: the operator's topic has a greatest age, 0.75 of ConfigApplyMs. Event 1212 names the topic, the age and the peers, to tell which way has failed. A read that the store answers early does not count as one that has waited.

Evidence: TestConfigurationArrivesWhenTheNewsOfPeersFail (6, 90 and 195 gateways; one, a domain, all) fails in nine of nine cases without the bound. Ruled out: the 404 of a peer, a first read from a peer. Not ruled out: a busier machine than any here.

--- a/cmd/dandelionrail/daemon.go
+++ b/cmd/dandelionrail/daemon.go
@@ -103,7 +103,7 @@
 	d.watchers = map[string]*gateway.Watcher{}
 	d.gossip = gossip.New(d.gateway, d.watchers, d.log, d.group)
 	operator, upstreams, gateways, suspects := platform.NewOperatorTopic(d.store, d.log), platform.NewUpstreamTopic(d.store, d.log), platform.NewGatewayTopic(d.store), platform.NewSuspectTopic(d.store, d.log)
-	d.watchers[operator.Name()] = gateway.NewWatcher(operator, d.gateway, d.gossip, watchInterval, watchWait, watchFallbackInterval)
+	d.watchers[operator.Name()] = gateway.NewWatcher(operator, d.gateway, d.gossip, watchInterval, watchWait, watchFallbackInterval).WithMaxAge(s.MaxOperatorAge())
 	d.watchers[upstreams.Name()] = gateway.NewWatcher(upstreams, d.gateway, d.gossip, watchInterval, watchWait, watchFallbackInterval).WithMaxAge(s.MaxUpstreamsAge())
 	d.watchers[suspects.Name()] = gateway.NewOptionalWatcher(suspects, d.gateway, d.gossip, watchInterval, suspectWait, watchFallbackInterval)
 	d.gatewayWatcher = gateway.NewWatcher(gateways, d.gateway, d.gossip, gatewayInterval, 0, watchFallbackInterval)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -317,6 +317,22 @@
 	return names
 }
 
+// recentPeers returns the names of the peers with recent digests, that of the cell leader alone if there is one.
+func (s *State) recentPeers() []string {
+	var names []string
+	for name, p := range s.peers {
+		switch {
+		case s.now.Sub(p.receivedAt) >= peerTimeout:
+		case p.digest.full:
+			return []string{name}
+		default:
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 const (
 	// meshReaders is the number of gateways that read the store on behalf of all.
 	meshReaders = 2
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -162,6 +162,10 @@
 	gateways    []*Gateway
 	watchers    []*Watcher
 	partitioned func(a, b int) bool
+	// unannounced reports whether digests do not tell the gateway what peers have read.
+	unannounced func(i int) bool
+	// maxAge is the age of what a gateway knows from which it reads the store itself, zero for no limit.
+	maxAge time.Duration
 }
 
 // process returns the present process of the gateway.
@@ -183,8 +187,10 @@
 	return f.partitioned(a, b)
 }
 
-func newRestorableFleet(n int) *restorableFleet {
-	f := &restorableFleet{failed: map[[2]int]time.Time{}, partitioned: func(int, int) bool { return false }}
+func newRestorableFleet(n int) *restorableFleet { return newRestorableFleetWithMaxAge(n, 0) }
+
+func newRestorableFleetWithMaxAge(n int, maxAge time.Duration) *restorableFleet {
+	f := &restorableFleet{failed: map[[2]int]time.Time{}, partitioned: func(int, int) bool { return false }, unannounced: func(int) bool { return false }, maxAge: maxAge}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.topic = &restorableTopic{name: "topic", era: 1, decode: func(records []Record, _ bool, source string) []Event {
 		var events []Event
@@ -225,7 +231,7 @@
 	s := NewState(NewSettings(name, registrations[name].domain, name+time.Now().String(), time.Now()).WithSlack(testSlack))
 	s.Reduce(time.Now(), NewPeersRead(registrations, true))
 	g := New(s, nil, discardLog{}, discardMetrics{})
-	w := NewWatcher(f.topic, g, fleetMirror{f, i}, 100*time.Millisecond, time.Second, 8*time.Second)
+	w := NewWatcher(f.topic, g, fleetMirror{f, i}, 100*time.Millisecond, time.Second, 8*time.Second).WithMaxAge(f.maxAge)
 	f.mu.Lock()
 	f.gateways[i], f.watchers[i] = g, w
 	f.mu.Unlock()
@@ -356,6 +362,9 @@
 	_, peer := f.process(to)
 	next, known := w.Next()
 	age, _ := w.Age()
+	f.mu.Lock()
+	known = known && !f.unannounced(to)
+	f.mu.Unlock()
 	if known {
 		peer.Notify("gateway-"+strconv.Itoa(from), next, time.Now().Add(-age))
 	}
@@ -517,3 +526,66 @@
 	_, refused := h.state.quarantine.check([]PromptPart{{id: "part"}, {id: "own"}}, h.now, func(string) bool { return false })
 	is.True(refused)
 }
+
+// Guards against a configuration that is not in force in time at gateways whose way of news fails while their peers still answer.
+func TestConfigurationArrivesWhenTheNewsOfPeersFail(t *testing.T) {
+	const settleTime = 4 * time.Second
+	for i, n := range restorableFleetSizes {
+		applyTime := time.Duration(i+2) * time.Second // ConfigApplyMs of the users' sites of that size.
+		for _, c := range []struct {
+			name        string
+			unannounced func(i int) bool
+		}{
+			{"one gateway", func(i int) bool { return i == n-1 }},
+			{"a domain", func(i int) bool { return i%3 == 1 }},
+			{"all", func(int) bool { return true }},
+		} {
+			t.Run(fmt.Sprintf("%d gateways, %s", n, c.name), func(t *testing.T) {
+				simtime.Run(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newRestorableFleetWithMaxAge(n, applyTime*3/4)
+					defer f.stop()
+					f.topic.write("config", "3")
+					time.Sleep(settleTime)
+					f.mu.Lock()
+					f.unannounced = c.unannounced
+					f.mu.Unlock()
+					for version := 5; version < 15; version++ {
+						f.topic.write("config", strconv.Itoa(version))
+						time.Sleep(applyTime)
+						is.Equal(f.versions(func(int) bool { return true }), map[int64]int{int64(version): n})
+						time.Sleep(time.Duration(version*37) * time.Millisecond)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A fleet whose news arrive does not read the store more often because of the greatest age.
+func TestGreatestAgeCostsNoReadsOfTheStore(t *testing.T) {
+	for i, n := range restorableFleetSizes {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			simtime.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newRestorableFleetWithMaxAge(n, time.Duration(i+2)*time.Second*3/4)
+				defer f.stop()
+				f.topic.write("config", "3")
+				time.Sleep(4 * time.Second)
+				f.topic.mu.Lock()
+				before := f.topic.calls
+				f.topic.mu.Unlock()
+				time.Sleep(20 * time.Second)
+				f.topic.mu.Lock()
+				reads := f.topic.calls - before
+				f.topic.mu.Unlock()
+				t.Logf("%d reads in 20 s", reads)
+				readers := meshReaders
+				if n > maxMeshGateways {
+					readers = cellReaders
+				}
+				is.True(reads <= 20*readers+2*n/3) // Each reader reads once a second, a few others once in a while.
+			})
+		})
+	}
+}
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -161,7 +161,11 @@
 	for ctx.Err() == nil {
 		pause := readerCheckInterval
 		reads, fallback := w.readsStore()
-		if reads || more || time.Since(readAt) >= fallback || w.outdated() {
+		outdated := w.outdated()
+		if outdated && !reads {
+			w.reportOutdated()
+		}
+		if reads || more || time.Since(readAt) >= fallback || outdated {
 			readAt, pause = time.Now(), w.interval
 			err := w.read(ctx, reads && !failed)
 			if failed = err != nil; failed {
@@ -200,6 +204,15 @@
 	return w.maxAge > 0 && known && age >= w.maxAge
 }
 
+// reportOutdated logs that what peers report of the topic is too old: the event tells which way of news has failed.
+func (w *Watcher) reportOutdated() {
+	age, _ := w.Age()
+	next, _ := w.Next()
+	var peers []string
+	w.gateway.View(func(s *State) { peers = s.recentPeers() })
+	w.gateway.log.Write(rail.EventNewsOutdated, NewField("topic", w.topic.Name()), NewField("ageMs", age.Milliseconds()), NewField("next", next.offset), NewField("peers", peers))
+}
+
 // Age returns how long ago the topic is known to have ended at the offset of Next, false before the first read.
 func (w *Watcher) Age() (time.Duration, bool) {
 	w.mu.Lock()
@@ -296,7 +309,7 @@
 		b, err := w.topic.Read(ctx, next.offset, wait)
 		switch {
 		case err == nil && b.Era() == next.era:
-			if len(b.records) == 0 {
+			if len(b.records) == 0 && time.Since(asOf) >= wait {
 				asOf = asOf.Add(wait) // The store has waited for a record.
 			}
 			w.apply(b, false, "store")
--- a/number.go
+++ b/number.go
@@ -76,6 +76,7 @@
 	EventStoreRestored        EventNumber = 1202
 	EventConfigurationInForce EventNumber = 1210
 	EventRecordSkipped        EventNumber = 1211
+	EventNewsOutdated         EventNumber = 1212
 	EventUpstreamListed       EventNumber = 1220
 	EventUpstreamLeaving      EventNumber = 1221
 	EventUpstreamExpired      EventNumber = 1222
@@ -167,6 +168,7 @@
 	EventListenFailed:         "listener failed; retrying",
 	EventConfigurationInForce: "configuration in force",
 	EventRecordSkipped:        "store record skipped",
+	EventNewsOutdated:         "peers report nothing recent of a topic",
 	EventUpstreamListed:       "upstream listed",
 	EventUpstreamLeaving:      "upstream is leaving",
 	EventUpstreamExpired:      "store entry of an upstream expired around an outage or a restore of the store; the upstream stays in use",
