gateway: answers that end with their connections clear prompt parts

Cause: an answer that ends with its connection may have been broken off by a crash, and cleared nothing; a short stream clears nothing by its progress. On such a route the part that all prompts share collected crashes for five minutes.

Change: such an answer is kept for 3 s, and counts as of its end once the same start of the upstream answers a request that was sent after it.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -300,6 +300,7 @@
 		if p.peer == "" {
 			s.recordReachability(p.target, rail.KindNone, false)
 			s.serviceReached(p.service.name)
+			s.confirmAnswers(p.target, p.sentAt)
 		}
 		waiting := Load{waitingTokens: p.load.waitingTokens}
 		p.load.waitingTokens = 0
--- a/gateway/enginefleet_test.go
+++ b/gateway/enginefleet_test.go
@@ -33,6 +33,8 @@
 	crashes        []time.Time // Of engines that answered the poisonous part.
 	poisonArrivals []time.Time // At engines.
 	sound          []*simulatedCall
+	// connectionEnds reports whether answers have neither a length nor chunks.
+	connectionEnds bool
 }
 
 // simulatedEngine is an engine with the runs in progress.
@@ -293,7 +295,7 @@
 		if r.events = r.total; r.total == 0 {
 			r.events = int(f.now.Sub(began) / simulatedGap)
 		}
-		f.end(r, Outcome{status: 200, answered: true, events: r.events, lastEventID: strconv.Itoa(r.events)})
+		f.end(r, Outcome{status: 200, answered: true, events: r.events, lastEventID: strconv.Itoa(r.events), endedWithConnection: f.connectionEnds})
 	})
 }
 
@@ -342,6 +344,9 @@
 		if r.events > 0 {
 			o.lastEventID = strconv.Itoa(r.events)
 		}
+		if r.events > 0 && f.connectionEnds && f.random.IntN(2) == 0 { // Without a reset it looks complete.
+			o = Outcome{status: 200, answered: true, events: r.events, lastEventID: o.lastEventID, endedWithConnection: true}
+		}
 		f.end(r, o)
 	}
 	f.after(time.Duration(2000+f.random.IntN(2000))*time.Millisecond, func() {
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -146,3 +146,45 @@
 		})
 	}
 }
+
+// shortAnswers makes answers short, and lets them end with their connections.
+func (f *engineFleet) shortAnswers() {
+	f.connectionEnds = true
+	f.answerTimes = func(*simulatedRun) (first, length time.Duration) { return 50 * time.Millisecond, 200 * time.Millisecond }
+}
+
+// Guards against a part that all requests share being blocked after a few crashes, since none of its answers clears it.
+func TestOrdinaryCrashesBlockNoPartOfAnswersThatEndWithTheirConnections(t *testing.T) {
+	for _, size := range engineFleetSizes {
+		t.Run(fmt.Sprintf("%d gateways", size.gateways), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newEngineFleet(size.gateways, size.domains, size.engines, 1)
+			f.shortAnswers()
+			for i := range 40 {
+				f.play(700*time.Millisecond, load{sound: size.sound})
+				f.crash(f.engines["engine-"+strconv.Itoa(i%size.engines)])
+			}
+			f.play(4*time.Second, load{sound: size.sound})
+			is.Equal(f.quarantinedShare(), 0.0)
+		})
+	}
+}
+
+// A part under which engines crash is blocked although answers to other requests end with their connections.
+func TestPartThatCrashesEnginesIsBlockedAmongAnswersThatEndWithTheirConnections(t *testing.T) {
+	for _, size := range engineFleetSizes {
+		t.Run(fmt.Sprintf("%d gateways", size.gateways), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newEngineFleet(size.gateways, size.domains, size.engines, 1)
+			f.shortAnswers()
+			f.play(3*time.Second, load{sound: size.sound, ordinaryCrashes: 0.2})
+			f.play(size.length, load{sound: size.sound, poisonous: 2, ordinaryCrashes: 0.2})
+			f.report(t, size.contact)
+			is.True(f.arrivalsAfter(size.contact) <= 3)
+			is.True(f.begunShare(f.crashes[min(4, len(f.crashes)-1)].Add(2*size.contact)) >= 0.5)
+			is.True(f.quarantinedShare() <= 0.02)
+		})
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -438,6 +438,8 @@
 // connection may have been broken off. The attempt ended at the time, seen is the true one.
 func (s *State) recordPromptOutcome(c *Call, p pendingCall, o Outcome, at, seen time.Time) {
 	switch {
+	case o.answered && o.endedWithConnection:
+		s.keepUnconfirmed(c, &p, o, at, seen)
 	case o.answered && !o.endedWithConnection && o.kind.Reply().Run() != rail.NotRun:
 		s.quarantine.recordRequestAnswer(c, p.teamName(), seen)
 		if o.kind == rail.KindNone {
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -17,6 +17,8 @@
 	refusal           refusalTime
 	// abandoned holds the requests that were given up here shortly ago.
 	abandoned []abandonment
+	// unconfirmed holds answers that ended with their connections shortly ago.
+	unconfirmed []unconfirmedAnswer
 	cache     cacheEstimate
 	// expiredAt is the time when the entry's removal during or after a store outage, or its absence after a restore, was seen, zero
 	// otherwise.
