--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -150,7 +150,9 @@
 // shortAnswers makes answers short, and lets them end with their connections.
 func (f *engineFleet) shortAnswers() {
 	f.connectionEnds = true
-	f.answerTimes = func(*simulatedRun) (first, length time.Duration) { return 50 * time.Millisecond, 200 * time.Millisecond }
+	f.answerTimes = func(*simulatedRun) (first, length time.Duration) {
+		return 50 * time.Millisecond, 200 * time.Millisecond
+	}
 }
 
 // Guards against a part that all requests share being blocked after a few crashes, since none of its answers clears it.
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -19,7 +19,7 @@
 	abandoned []abandonment
 	// unconfirmed holds answers that ended with their connections shortly ago.
 	unconfirmed []unconfirmedAnswer
-	cache     cacheEstimate
+	cache       cacheEstimate
 	// expiredAt is the time when the entry's removal during or after a store outage, or its absence after a restore, was seen, zero
 	// otherwise.
 	expiredAt time.Time
--- a/gateway/unconfirmedanswer.go
+++ b/gateway/unconfirmedanswer.go
@@ -37,8 +37,9 @@
 	if a.key == "" && len(shareableParts(a.parts)) == 0 {
 		return
 	}
-	list := append(p.target.unconfirmed, a)
-	p.target.unconfirmed = list[max(0, len(list)-maxUnconfirmed):]
+	t := p.target
+	t.unconfirmed = append(t.unconfirmed, a)
+	t.unconfirmed = t.unconfirmed[max(0, len(t.unconfirmed)-maxUnconfirmed):]
 }
 
 // confirmAnswers confirms the answers that had ended when a request was sent that the upstream answers now.
