--- a/review/harness/client_test.go
+++ b/review/harness/client_test.go
@@ -138,10 +138,8 @@
 
 // configure writes a configuration with the tenants, if there are any.
 func (w *world) configure(version int, routes []map[string]any, services []map[string]any, tenants ...map[string]any) {
-	config := map[string]any{
-		"Version": version, "Routes": routes, "Services": services,
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	}
+	config := map[string]any{"Version": version, "Routes": routes, "Services": services,
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
 	if len(tenants) > 0 {
 		config["Tenants"] = tenants
 	}
