--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -120,8 +120,8 @@
 	s.dropEvidence(r)
 	effects := []Effect{report(rail.EventRolloutOrdered, NewField("service", o.service), NewField("version", o.target), NewField("periodMs", o.period.Milliseconds()), NewField("state", string(o.state)),
 		NewField("era", o.id.era), NewField("order", o.id.number))}
-	if status, known := s.rolloutStatuses[o.service]; known && status.concerns(o) {
-		effects = append(effects, s.endRollout(r, status.state, "store")...)
+	if status, known := s.rolloutStatuses[o.service]; known && status.concerns(o) && (!ok || status.order == o.id) {
+		effects = append(effects, s.endRollout(r, status.state, "store")...) // A running gateway may have read it long ago.
 	}
 	effects = append(effects, s.applyKnownVerdict(r)...)
 	if state, known := s.verdicts[k]; known && !ok { // A verdict without an order's id is on the first one that this gateway reads.
--- a/gateway/rolloutorder_test.go
+++ b/gateway/rolloutorder_test.go
@@ -181,3 +181,28 @@
 	is.Equal(verdicts[0].GetVersion(), "v2")
 	is.True(!verdicts[0].GetDone())
 }
+
+// Guards against a status that was read before several orders and ends a later one of the same version.
+func TestStatusThatWasReadLongAgo(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(strconv.FormatBool(known), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness()
+			id := OrderID{}
+			if known {
+				id = OrderIDFrom(1, 3)
+			}
+			order := func(version string, era, number int64) *rollout {
+				h.post(NewRolloutRead(NewRolloutOrder("desk", version, time.Minute, RolloutRunning).WithID(OrderIDFrom(era, number))))
+				return h.state.rollouts["desk"]
+			}
+			h.post(NewRolloutStatusRead(NewRolloutStatus("desk", "v2", RolloutRolledBack, id)))
+			is.Equal(order("v2", 1, 3).state, RolloutRolledBack)
+			h.advance(time.Minute)
+			is.Equal(order("v1", 1, 5).state, RolloutRunning)
+			h.advance(time.Minute).post(StoreRestored{})
+			h.advance(time.Minute)
+			is.Equal(order("v2", 2, 8).state, RolloutRunning)
+		})
+	}
+}
