--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -270,21 +270,27 @@
 	return nil
 }
 
+// newRolloutRunner returns a gateway whose runner reports rollouts, and a function that lets two seconds pass for it.
+func newRolloutRunner(t *testing.T, topic Topic, cloud Cloud) (g *gateway.Gateway, tick func()) {
+	t.Helper()
+	start := time.Now()
+	g = gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
+	r := New(NewLease("gateway-1", "first", testLength, 0), g, topic, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
+	return g, func() {
+		for range 5 {
+			time.Sleep(400 * time.Millisecond)
+			r.tick(t.Context())
+		}
+	}
+}
+
 // Guards against an operator that never reads the end of a rollout, because a restore of the store lost its report.
 func TestRolloutIsReportedAgainAfterARestore(t *testing.T) {
 	simtime.Run(t, func(t *testing.T) {
 		is := is.New(t)
 		topic, cloud := &unreliableTopic{}, &rolloutCloud{}
-		start := time.Now()
-		g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
-		r := New(NewLease("gateway-1", "first", testLength, 0), g, topic, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
+		g, tick := newRolloutRunner(t, topic, cloud)
 		g.Post(gateway.NewRolloutRead(gateway.NewRolloutOrder("desk", "v2", time.Minute, gateway.RolloutRunning)))
-		tick := func() {
-			for range 5 {
-				time.Sleep(400 * time.Millisecond)
-				r.tick(t.Context())
-			}
-		}
 		tick()
 		is.Equal(cloud.states, []gateway.RolloutState{gateway.RolloutRunning})
 		g.Post(gateway.NewRolloutRead(gateway.NewRolloutOrder("desk", "v2", time.Minute, gateway.RolloutDone)))
@@ -303,16 +309,8 @@
 			simtime.Run(t, func(t *testing.T) {
 				is := is.New(t)
 				cloud := &rolloutCloud{stored: []gateway.RolloutStatus{gateway.NewRolloutStatus("desk", "v2", end, gateway.OrderID{})}, unavailable: true}
-				start := time.Now()
-				g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
-				r := New(NewLease("gateway-1", "first", testLength, 0), g, &unreliableTopic{}, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
+				g, tick := newRolloutRunner(t, &unreliableTopic{}, cloud)
 				g.Post(gateway.NewRolloutRead(gateway.NewRolloutOrder("desk", "v2", time.Minute, gateway.RolloutRunning)))
-				tick := func() {
-					for range 5 {
-						time.Sleep(400 * time.Millisecond)
-						r.tick(t.Context())
-					}
-				}
 				tick()
 				is.Equal(len(cloud.states), 0) // Nothing is reported before it is known what was.
 				cloud.unavailable = false
@@ -329,16 +327,11 @@
 	simtime.Run(t, func(t *testing.T) {
 		is := is.New(t)
 		cloud := &rolloutCloud{}
-		start := time.Now()
-		g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
-		r := New(NewLease("gateway-1", "first", testLength, 0), g, &unreliableTopic{}, cloud, upToDate{}, discardLog{}, func() time.Duration { return time.Since(start) }, false, false)
+		g, tick := newRolloutRunner(t, &unreliableTopic{}, cloud)
 		for i, version := range []string{"v2", "v1", "v2"} {
 			o := gateway.NewRolloutOrder("desk", version, time.Minute, gateway.RolloutRunning).WithID(gateway.OrderIDFrom(0, int64(i+1)))
 			g.Post(gateway.NewRolloutRead(o))
-			for range 5 {
-				time.Sleep(400 * time.Millisecond)
-				r.tick(t.Context())
-			}
+			tick()
 			is.Equal(cloud.states, []gateway.RolloutState{gateway.RolloutRunning})
 			cloud.states = nil
 			g.Post(gateway.NewRolloutRead(gateway.NewRolloutOrder("desk", version, time.Minute, gateway.RolloutDone).WithID(o.ID())))
--- a/gateway/cellrollout_test.go
+++ b/gateway/cellrollout_test.go
@@ -48,6 +48,11 @@
 
 // restart starts a gateway again: it knows the order, but nothing of what was seen.
 func (f *rolloutFleet) restart(name string) {
+	f.begin(name).Reduce(f.now, NewRolloutRead(NewRolloutOrder("desk", "v2", 15*time.Second, RolloutRunning)))
+}
+
+// begin replaces a gateway by a new process, which has read everything but the order.
+func (f *rolloutFleet) begin(name string) *State {
 	old := f.states[name]
 	s := NewState(NewSettings(name, old.settings.domain, name+strconv.Itoa(f.sent), f.now).WithSlack(testSlack))
 	s.Reduce(f.now, NewConfigRead(testConfig(1, testTeam()), "store"))
@@ -58,7 +63,7 @@
 	s.Reduce(f.now, NewPeersRead(registrations, true))
 	f.states[name] = s
 	f.prepare(s)
-	s.Reduce(f.now, NewRolloutRead(NewRolloutOrder("desk", "v2", 15*time.Second, RolloutRunning)))
+	return s
 }
 
 // play sends requests a second to random gateways for the duration; isBad decides whether the new version's answer is bad.
--- a/gateway/rolloutstatus_test.go
+++ b/gateway/rolloutstatus_test.go
@@ -26,14 +26,7 @@
 // restartAll starts all gateways again; they read the order, and the status of the rollout before or after it.
 func (f *rolloutFleet) restartAll(status RolloutStatus, statusFirst bool, kept string) {
 	for _, name := range f.names {
-		s := NewState(NewSettings(name, f.states[name].settings.domain, name+" again", f.now).WithSlack(testSlack).WithExposure(0.1))
-		registrations := map[string]Registration{}
-		for i, n := range f.names {
-			registrations[n] = NewRegistration("127.0.0.1:"+strconv.Itoa(i+1), f.states[n].settings.domain)
-		}
-		s.Reduce(f.now, NewConfigRead(testConfig(1, testTeam()), "store"))
-		s.Reduce(f.now, NewPeersRead(registrations, true))
-		f.prepare(s)
+		s := f.begin(name)
 		if statusFirst {
 			s.Reduce(f.now, NewRolloutStatusRead(status))
 		}
@@ -41,7 +34,6 @@
 		if !statusFirst {
 			s.Reduce(f.now, NewRolloutStatusRead(status))
 		}
-		f.states[name] = s
 	}
 	f.keepVersion(kept)
 }
