gateway: one function tells under which order an attempt counts

Three callers checked that the attempt's order is the present one and then replaced its id. presentKey does both; speedKey has the rest of the condition. Behaviour is unchanged; the tests of rollouts, versions and speeds pass.

--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -453,12 +453,11 @@
 
 // recordVersionOutcome records the outcome of an attempt that ended at the time for the upstream's version.
 func (s *State) recordVersionOutcome(p pendingCall, o Outcome, at time.Time) {
-	if !s.countsForRollout(p.version) {
+	k, ok := s.presentKey(p.version)
+	if !ok {
 		return
 	}
 	kind := o.upstreamKind()
-	k := p.version
-	k.order = s.rollouts[k.service].id
 	v := s.versions[k]
 	switch {
 	case kind == rail.KindCancelled:
@@ -473,10 +472,14 @@
 	s.versions[k] = v
 }
 
-// countsForRollout reports whether an attempt that was sent under the key counts for the service's present rollout.
-func (s *State) countsForRollout(k versionKey) bool {
+// presentKey returns the key under which an attempt counts that was sent under the given one, false if its order was replaced.
+func (s *State) presentKey(k versionKey) (versionKey, bool) {
 	r := s.rollouts[k.service]
-	return r != nil && r.hasID(k.order)
+	if r == nil || !r.hasID(k.order) {
+		return versionKey{}, false
+	}
+	k.order = r.id
+	return k, true
 }
 
 // slowFactor is the multiple of its goal that an answer may take and still count as good.
--- a/gateway/versionspeed.go
+++ b/gateway/versionspeed.go
@@ -89,23 +89,19 @@
 	return s.now.Sub(p.sentAt).Seconds() / p.expectedTime(tokens).Seconds()
 }
 
-// tellsSpeed reports whether the time of the attempt's answer tells the speed of a version with a rollout. A retry is late, and an
-// upstream that is warming up is slow, for another reason.
-func (p *pendingCall) tellsSpeed() bool {
-	return p.version.service != "" && p.attempts <= 1 && p.target.warmUp <= 0
-}
-
-func (p *pendingCall) speedKey() speedKey {
-	return speedKey{p.version, rail.RouteName(p.route.name)}
+// speedKey returns the key under which the time of the attempt's answer counts, false if it does not tell the speed of a version
+// with a rollout. A retry is late, and an upstream that is warming up is slow, for another reason.
+func (s *State) speedKey(p *pendingCall) (speedKey, bool) {
+	k, ok := s.presentKey(p.version)
+	return speedKey{k, rail.RouteName(p.route.name)}, ok && p.attempts <= 1 && p.target.warmUp <= 0
 }
 
 // recordSpeed records how long a complete answer took.
 func (s *State) recordSpeed(p *pendingCall, o Outcome) {
-	if o.kind != rail.KindNone || !p.tellsSpeed() || !s.countsForRollout(p.version) {
+	k, ok := s.speedKey(p)
+	if o.kind != rail.KindNone || !ok {
 		return
 	}
-	k := p.speedKey()
-	k.order = s.rollouts[k.service].id
 	v := s.speeds[k]
 	v.addRatio(s.speedRatio(p, int64(o.events)*eventTokens))
 	s.speeds[k] = v
@@ -118,12 +114,11 @@
 		return current
 	}
 	for c, p := range s.calls {
-		if !p.tellsSpeed() || !s.countsForRollout(p.version) || !p.service.isEngine() || s.suspectsPartition(p.service.name) {
+		k, ok := s.speedKey(p)
+		if !ok || !p.service.isEngine() || s.suspectsPartition(p.service.name) {
 			continue
 		}
 		if ratio := s.speedRatio(p, c.output); ratio >= lateRatio {
-			k := p.speedKey()
-			k.order = s.rollouts[k.service].id
 			v := current[k]
 			v.addRatio(ratio)
 			current[k] = v
