gateway: full quarantines do not make each other drop and add the same suspects

Cause, one of two: a gateway with as many suspects as it has room for took each unknown one that a peer reported and dropped the lowest in its place, also if that ranked higher. Peers that hold others sent it back with the next digest.

What the gateway saw itself is always kept.

--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -69,7 +69,9 @@
 	s.updatePeerAdmitted()
 	s.notePeerRead(d)
 	for key, x := range d.suspects {
-		s.quarantine.merge(key, x)
+		if s.quarantine.admits(key, x) {
+			s.quarantine.merge(key, x)
+		}
 	}
 	effects := s.applyVerdicts(d)
 	for id, n := range d.limits {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -39,6 +39,8 @@
 	logged map[string]bool
 	// stored holds the suspects as in their newest records in the store.
 	stored map[string]suspect
+	// parts and wholes are the suspects by kind: prompt parts, and requests.
+	parts, wholes suspectKind
 }
 
 const (
@@ -74,7 +76,7 @@
 )
 
 func newQuarantine() *quarantine {
-	return &quarantine{suspects: map[string]*suspect{}, answered: map[string]time.Time{}, trials: map[string]*Call{}, blocked: map[string]time.Time{}, logged: map[string]bool{}, stored: map[string]suspect{}}
+	return &quarantine{suspects: map[string]*suspect{}, answered: map[string]time.Time{}, trials: map[string]*Call{}, blocked: map[string]time.Time{}, logged: map[string]bool{}, stored: map[string]suspect{}, parts: newSuspectKind(maxSuspects), wholes: newSuspectKind(maxRequestSuspects)}
 }
 
 // partKey returns the key of a part in digests and in the store.
@@ -216,64 +218,46 @@
 		key := partKey(p)
 		q.answered[key] = at.Truncate(time.Millisecond)
 		if x, ok := q.suspects[key]; ok && q.answered[key].After(x.clearedAt) {
-			q.changed = q.changed || len(x.crashes) > 0
-			x.clearedAt = q.answered[key]
+			q.clear(key, x, q.answered[key])
 		}
 	}
 }
 
-// merge adds what is known about a part.
-func (q *quarantine) merge(key string, o suspect) {
+// clear clears the suspect of all crashes before the time.
+func (q *quarantine) clear(key string, x *suspect, at time.Time) {
+	if x.clearedAt = at; len(x.crashes) > 0 {
+		q.changed = true
+	}
+}
+
+// merge adds what is known about a part or a request, and reports whether that changed what to tell peers.
+func (q *quarantine) merge(key string, o suspect) (changed bool) {
 	x, ok := q.suspects[key]
 	if !ok {
-		x = &suspect{request: isRequestKey(key), clearedAt: q.answered[key], crashes: map[upstreamStart]time.Time{}, first: map[upstreamStart]time.Time{}}
-		q.makeRoom(x.request)
+		request := isRequestKey(key)
+		q.makeRoom(request)
+		x = &suspect{request: request, clearedAt: q.answered[key], crashes: map[upstreamStart]time.Time{}, first: map[upstreamStart]time.Time{}}
 		q.suspects[key] = x
 		if x.request {
 			q.requests++
 		}
 	}
 	if o.clearedAt.After(x.clearedAt) {
-		x.clearedAt, q.changed = o.clearedAt, true
+		x.clearedAt, changed = o.clearedAt, true
 		q.noteAnswer(o.clearedAt)
 	}
 	x.depth = max(x.depth, o.depth)
 	for engine, at := range o.crashes {
 		for _, earlier := range []time.Time{x.crashes[engine], o.first[engine], at} {
-			q.changed = x.noteFirst(engine, earlier) || q.changed
+			changed = x.noteFirst(engine, earlier) || changed
 		}
 		if at.After(x.crashes[engine]) {
-			x.crashes[engine], q.changed = at, true
+			x.crashes[engine], changed = at, true
 		}
 	}
+	q.changed = q.changed || changed
 	x.dropMiddleCrashes()
-}
-
-// makeRoom makes room for another request, or another part.
-func (q *quarantine) makeRoom(request bool) {
-	switch {
-	case request && q.requests >= maxRequestSuspects:
-		q.evict(true)
-	case !request && len(q.suspects)-q.requests >= maxSuspects:
-		q.evict(false)
-	}
-}
-
-// evict drops the request, or the part, with the fewest crashes, of those with as many the one whose last crash is the oldest.
-func (q *quarantine) evict(request bool) {
-	var key string
-	var count int
-	var last time.Time
-	for k, x := range q.suspects {
-		if x.request != request {
-			continue
-		}
-		n, at := x.crashCount(), x.lastCrash()
-		if key == "" || n < count || (n == count && at.Before(last)) {
-			key, count, last = k, n, at
-		}
-	}
-	q.forget(key)
+	return changed
 }
 
 // forget drops a suspect.
@@ -388,7 +372,9 @@
 			continue
 		}
 		q.stored[key] = x
-		q.merge(key, x)
+		if q.admits(key, x) {
+			q.merge(key, x)
+		}
 	}
 }
 
--- a/gateway/requestkey.go
+++ b/gateway/requestkey.go
@@ -109,8 +109,7 @@
 // clearRequest clears the request, if it is suspected, of all crashes before the time.
 func (q *quarantine) clearRequest(key string, at time.Time) {
 	if x, ok := q.suspects[key]; ok && at.After(x.clearedAt) {
-		q.changed = q.changed || len(x.crashes) > 0
-		x.clearedAt = at.Truncate(time.Millisecond)
+		q.clear(key, x, at.Truncate(time.Millisecond))
 	}
 }
 
