rollout: a version is slow only if its answers take a tenth longer at least

Cause, suspected: an answer counted as slow above the 90th percentile of the old version, without any tolerance in time.

Change: an answer is slow if it exceeds the percentile by a tenth.

--- a/rollout/quantile.go
+++ b/rollout/quantile.go
@@ -8,6 +8,9 @@
 const (
 	// slowQuantile is the fraction of the old version's answers that are not slow.
 	slowQuantile = 0.9
+	// slowTolerance is the part by which a slow answer exceeds the estimate at least: where the old version's answers hardly differ, the
+	// load of a machine alone makes one version's slower than nearly all of the other's.
+	slowTolerance = 0.1
 	// initialGain and minGain are the largest and the smallest relative step of the estimate.
 	initialGain = 0.5
 	minGain     = 0.02
@@ -38,5 +41,5 @@
 
 // slow reports whether an answer counts as slow.
 func (q *quantile) slow(latency time.Duration) bool {
-	return q.samples >= minQuantileSamples && float64(latency) > q.value
+	return q.samples >= minQuantileSamples && float64(latency) > q.value*(1+slowTolerance)
 }
--- a/rollout/trials_test.go
+++ b/rollout/trials_test.go
@@ -145,3 +145,38 @@
 	sim.run(5*time.Second, nil)
 	return sim
 }
+
+// Guards against a good version that is rolled back because the answers of both differ by less than the load of a machine makes up.
+func TestVersionThatIsHardlySlowerIsKept(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		factor float64
+		kept   bool
+	}{
+		{"3% slower", 1.03, true},
+		{"6% slower", 1.06, true},
+		{"50% slower", 1.5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			sum := trialSummary{}
+			for seed := range uint64(10) {
+				sim := newSimulation(seed, 3, trialWindow, func(o outcome, _ rail.RouteName, _ time.Duration, _, _ float64) outcome {
+					o.byFault = o.ok && !c.kept
+					o.latency = time.Duration(float64(o.latency) * c.factor)
+					return o
+				})
+				sim.latencySigma = 0.01
+				sim.run(trialWindow, nil)
+				for _, name := range []rail.RouteName{counter, workshop} {
+					sum.add(sim.routes[name], sim.verdicts(name), slowPerGroup, c.kept)
+				}
+			}
+			t.Log(sum)
+			is.Equal(sum.done, sum.good)
+			is.Equal(sum.missed, 0)
+			is.Equal(sum.overBound, 0)
+		})
+	}
+}
