gateway: digests name a bounded number of suspects

Cause: each digest named all suspected prompt parts and requests that are news. Ten seconds after many upstreams had ended these were 607; a leader sends and receives 80 digests a second with 0.19 of a core, and got to 7 to 14. Ruled out: the greatest age of what is known, which was bounded before; calls of callers, 20 a second.

Change: a digest names 64 parts and 64 requests in the mean: the 16 that this gateway saw last, the 32 that peers reported last, others in turns. Where there are no more, all of them, as before; older builds read both.

TestDigestStaysSmallAmongManySuspects fails without the change. TestDigestsAfterAnEndOfManyUpstreams demanded all 512 in one digest: it now demands that all of them are sent within 400 digests, none with more than 128, and one only after five seconds, as before.

--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -69,9 +69,7 @@
 	s.updatePeerAdmitted()
 	s.notePeerRead(d)
 	for key, x := range d.suspects {
-		if s.quarantine.admits(key, x) {
-			s.quarantine.merge(key, x)
-		}
+		s.quarantine.learn(key, x)
 	}
 	effects := s.applyVerdicts(d)
 	for id, n := range d.limits {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -41,6 +41,8 @@
 	stored map[string]suspect
 	// parts and wholes are the suspects by kind: prompt parts, and requests.
 	parts, wholes suspectKind
+	// added is the number of suspects that were added so far.
+	added int64
 }
 
 const (
@@ -204,7 +206,7 @@
 // recordCrash records that an engine broke off a request when it began to answer it.
 func (q *quarantine) recordCrash(parts []PromptPart, engine upstreamStart, at time.Time) {
 	for i, p := range shareableParts(parts) {
-		q.merge(partKey(p), suspect{depth: i, crashes: map[upstreamStart]time.Time{engine: at.Truncate(time.Millisecond)}})
+		q.observe(partKey(p), suspect{depth: i, crashes: map[upstreamStart]time.Time{engine: at.Truncate(time.Millisecond)}})
 	}
 }
 
@@ -227,6 +229,7 @@
 func (q *quarantine) clear(key string, x *suspect, at time.Time) {
 	if x.clearedAt = at; len(x.crashes) > 0 {
 		q.changed = true
+		q.noteOwnChange(key, x)
 	}
 }
 
@@ -236,7 +239,8 @@
 	if !ok {
 		request := isRequestKey(key)
 		q.makeRoom(request)
-		x = &suspect{request: request, clearedAt: q.answered[key], crashes: map[upstreamStart]time.Time{}, first: map[upstreamStart]time.Time{}}
+		q.added++
+		x = &suspect{request: request, number: q.added, clearedAt: q.answered[key], crashes: map[upstreamStart]time.Time{}, first: map[upstreamStart]time.Time{}}
 		q.suspects[key] = x
 		if x.request {
 			q.requests++
@@ -262,26 +266,17 @@
 
 // forget drops a suspect.
 func (q *quarantine) forget(key string) {
-	if x, ok := q.suspects[key]; ok && x.request {
-		q.requests--
+	if x, ok := q.suspects[key]; ok {
+		if x.request {
+			q.requests--
+		}
+		q.kind(x.request).dropNews(x)
 	}
 	delete(q.suspects, key)
 	delete(q.trials, key)
 	q.changed = true
 }
 
-// news returns a copy of the suspects to report to peers: all parts, and the requests under which several upstreams crashed or that are
-// new. A crash of many upstreams makes hundreds of requests suspect; those that learn of them later read the store.
-func (q *quarantine) news(now time.Time) map[string]suspect {
-	news := make(map[string]suspect, len(q.suspects))
-	for key, x := range q.suspects {
-		if !x.request || x.crashCount() > 1 || now.Sub(x.lastCrash()) < requestNewsTime {
-			news[key] = x.clone()
-		}
-	}
-	return news
-}
-
 // check reports whether a request with the parts must be refused, and when to try again. A part that has been blocked for long
 // enough is tried with one request at a time, if mayTry allows that for it.
 func (q *quarantine) check(parts []PromptPart, now time.Time, mayTry func(key string) bool) (wait time.Duration, refused bool) {
--- a/gateway/requestkey.go
+++ b/gateway/requestkey.go
@@ -87,7 +87,7 @@
 
 // recordRequestCrash records that an upstream ended while the request with the key was running.
 func (q *quarantine) recordRequestCrash(key string, upstream upstreamStart, at time.Time) {
-	q.merge(key, suspect{crashes: map[upstreamStart]time.Time{upstream: at.Truncate(time.Millisecond)}})
+	q.observe(key, suspect{crashes: map[upstreamStart]time.Time{upstream: at.Truncate(time.Millisecond)}})
 }
 
 // suspectsRequest reports whether an upstream has ended under the call of the team since it was last answered.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -301,7 +301,7 @@
 		sequence: s.sequence, gateway: s.settings.name, incarnation: s.settings.incarnation, wall: now, storeUnavailable: s.registry.storeUnavailable,
 		loads: map[string]Load{}, admitted: map[string]buckets{}, usage: usage{}, demand: s.demand, notReady: !s.Ready(), fence: s.fence,
 		versions: make(map[versionKey]tally, len(s.versions)), verdicts: s.knownVerdicts(), domains: []string{s.settings.domain}, members: []string{s.settings.name}, covers: 1,
-		speeds: s.currentSpeeds(), ends: maps.Clone(s.ends), suspects: s.quarantine.news(s.clock.now(now)), limits: s.limitDigest(), partitions: s.ownPartitions(),
+		speeds: s.currentSpeeds(), ends: maps.Clone(s.ends), suspects: s.quarantine.news(s.clock.now(now), s.sequence), limits: s.limitDigest(), partitions: s.ownPartitions(),
 	}
 	d.recentRate, d.baselineRate = s.arrivals.ratesWithoutTopTeam()
 	for id, t := range s.registry.targets {
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"maps"
 	"slices"
 	"time"
@@ -17,6 +18,10 @@
 	depth int
 	// crashes holds the last crash of each engine, first the first one that counts.
 	crashes, first map[upstreamStart]time.Time
+	// number is its position in the order in which suspects were added.
+	number int64
+	// ownNews and peerNews are its elements in the lists of its kind, nil if it is not in them.
+	ownNews, peerNews *list.Element
 }
 
 // upstreamStart identifies a start of an upstream.
--- a/gateway/suspectlimit.go
+++ b/gateway/suspectlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"time"
 )
@@ -33,10 +34,12 @@
 	// evictable holds those that ranked lowest when they were compared last, evicted the rank of the last one that was dropped.
 	evictable []rankedSuspect
 	evicted   suspectRank
+	// ownNews and peerNews hold the keys of those about which this gateway saw something, or a peer reported it, the latest ones first.
+	ownNews, peerNews *list.List
 }
 
 func newSuspectKind(most int) suspectKind {
-	return suspectKind{most: most}
+	return suspectKind{most: most, ownNews: list.New(), peerNews: list.New()}
 }
 
 // kind returns what is kept of the requests, or of the parts.
