gateway: an engine counts as silent after a second at the earliest

Cause: streams were taken away after 0.45 s of silence, or the goal for gaps plus 0.1 s. A sound engine may be silent for a second or so, works on meanwhile and sees a reset connection only afterwards.

Change: a second at the earliest. Not built: a new connection as a sign that the machine is there; a process that is stuck accepts it too.

Streams of an engine that is gone without a sign go on half a second later.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -590,8 +590,9 @@
 }
 
 const (
-	// silentEngineTimeout is the minimum time without an event on any stream after which an engine counts as silent.
-	silentEngineTimeout = 450 * time.Millisecond
+	// silentEngineTimeout is the minimum time without an event on any stream after which an engine counts as silent: a sound one may be
+	// silent for about a second and goes on with its streams then.
+	silentEngineTimeout = time.Second
 	// minSilentStreams is the number of streams needed to distinguish a silent engine from a slow request.
 	minSilentStreams = 2
 	// minStallTimeout, stallGoals and stallGaps bound the time without an event after which a stream counts as stalled:
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -184,6 +184,28 @@
 	is.Equal(len(abortedCalls(h.tick(silentEngineTimeout))), 3)
 }
 
+// Guards against a stream that runs at two engines, since the first one is only silent for about a second and goes on with it (TWICE).
+func TestStreamsOfAnEngineThatIsSilentForASecondRunOnce(t *testing.T) {
+	const copyTime = 400 * time.Millisecond // For which a stream may run at two engines.
+	for _, silence := range []time.Duration{500 * time.Millisecond, time.Second, 1200 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			is := is.New(t)
+			h := newServingHarness(testEngine("a", "north"))
+			for range 6 {
+				c := h.advance(time.Millisecond).call("/drafts/1")
+				h.arrive(c)
+				h.post(AnswerStarted{call: c})
+			}
+			h.list(UpstreamSet(testEngine("b", "north")))
+			for silent := TickInterval; silent < silence; silent += TickInterval {
+				if aborted := abortedCalls(h.tick(TickInterval)); len(aborted) > 0 {
+					is.True(silence-silent <= copyTime)
+				}
+			}
+		})
+	}
+}
+
 // Guards against streams that are broken off because their engine is silent, though no other engine can go on with them.
 func TestSilentEngineKeepsItsStreamsThatCannotGoOnElsewhere(t *testing.T) {
 	const streams = 6
