gateway: a failure of an order does not look like a promise

Cause: statuses of workers were forwarded as they are. 408, 421, 429 and 503 promise callers that the request was not run; a worker states that by X-Not-Run only.

Change: on routes whose requests may run once only, such an answer without X-Not-Run counts as a failure and is answered with 502, without the worker's stamp. Other routes, and other statuses, are unchanged.

TestFailureOfAnOrderIsNoPromise fails before for 408, 429 and 503.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -484,8 +484,7 @@
 	if notRun {
 		return p.refusals < maxRefusals && p.hops < maxForwards && p.possibleRuns < p.route.attempts
 	}
-	repeatable := p.route.repeat == Repeatable || p.route.mayResume()
-	return repeatable && p.possibleRuns < p.route.attempts
+	return p.route.mayRunAgain() && p.possibleRuns < p.route.attempts
 }
 
 func (s *State) spendRetry(p *pendingCall) bool {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -58,6 +58,9 @@
 	return r
 }
 
+// mayRunAgain reports whether a request of the route that may have run may be sent again.
+func (r *Route) mayRunAgain() bool { return r.repeat == Repeatable || r.mayResume() }
+
 // WithTimes returns the route with its timeout and its latency goal.
 func (r *Route) WithTimes(timeout, goal time.Duration) *Route {
 	r.timeout, r.goal = timeout, goal
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -131,6 +131,9 @@
 	}
 	r.reportNotice(e, answer.notice)
 	defer func() { _ = answer.body.Close() }() // Ends the attempt; the error does not matter any more.
+	if !e.route.mayRunAgain() && promisesNotRun(answer.status) {
+		return r.attemptFailure(ctx, rail.NewError(rail.KindUpstreamFailed, "status %d of an upstream that does not say that the request was not run", answer.status))
+	}
 	forward := r.forwardAnswer
 	if e.route.streaming && answer.status >= statusOK && answer.status < statusMultipleChoices {
 		forward = r.forwardStream
@@ -140,6 +143,15 @@
 	return o
 }
 
+// promisesNotRun reports whether callers take the status for the promise that the request was not run, and send it again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // reportNotice reports what an answer says of its upstream; a request limit also if there was one before and the answer names none.
 func (r *relay) reportNotice(e Send, n Notice) {
 	if n.answered && (n.limit.named || e.limited) {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -60,3 +64,44 @@
 	is.True(!o.brokenOff())
 	is.Equal(o.kind, rail.KindUpstreamFailed) // It may have run.
 }
+
+// answeringSender answers each attempt with the status, without a statement that the request was not run.
+type answeringSender struct{ status, sent int }
+
+func (s *answeringSender) Send(context.Context, Send) (*Answer, error) {
+	s.sent++
+	body := "no database"
+	return NewAnswer(s.status, http.Header{}, int64(len(body)), io.NopCloser(strings.NewReader(body))), nil
+}
+
+func (*answeringSender) Probe(Probe, func(bool)) {}
+
+// Guards against an order that its caller sends again, since an upstream failed with a status that promises that it was not run (REFUSED).
+func TestFailureOfAnOrderIsNoPromise(t *testing.T) {
+	for _, c := range []struct {
+		path           string
+		status, answer int
+	}{
+		{"/orders/1", http.StatusRequestTimeout, http.StatusBadGateway},
+		{"/orders/1", http.StatusTooManyRequests, http.StatusBadGateway},
+		{"/orders/1", http.StatusServiceUnavailable, http.StatusBadGateway},
+		{"/orders/1", http.StatusInternalServerError, http.StatusInternalServerError},
+		{"/orders/1", http.StatusBadGateway, http.StatusBadGateway},
+		{"/orders/1", http.StatusConflict, http.StatusConflict},
+		{"/orders/lookup/1", http.StatusTooManyRequests, http.StatusTooManyRequests},
+		{"/orders/lookup/1", http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+	} {
+		t.Run(fmt.Sprintf("%s %d", c.path, c.status), func(t *testing.T) {
+			is := is.New(t)
+			sender := &answeringSender{status: c.status}
+			now := time.Now()
+			g := New(NewState(NewSettings("gateway-1", "north", "first", now).WithRetries(0, 0)), sender, discardLog{}, discardMetrics{})
+			g.Post(NewConfigRead(testConfig(1), "store"))
+			g.Post(NewUpstreamsRead([]UpstreamChange{UpstreamSet(testUpstream("a")), UpstreamSet(testUpstream("b"))}, true, "store"))
+			w := httptest.NewRecorder()
+			is.NoErr(g.Serve(t.Context(), NewCall("r-1", c.path, "", NewMessage("POST", c.path, "shop.example", nil, nil), now, now.Add(time.Second)), w))
+			is.Equal(w.Code, c.answer)
+			is.Equal(sender.sent, 1)
+		})
+	}
+}
