gateway: a process without processor time reports it (event 1203)

The time between ticks was measured, and used for streams, but not logged.

Event 1203 tells the time between two ticks if it is over 250 ms in place of 100, with the peers, calls and suspects at that moment, at most once in five seconds. TestLateTicksAreReported.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -1,26 +1,48 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"dandelionrail.org/rail"
+)
 
 const (
 	// TickInterval is the time between two Ticked events.
 	TickInterval = 100 * time.Millisecond
 	// maxTickGap is the time between two of them beyond which the process was paused, or waited for its processor.
 	maxTickGap = 250 * time.Millisecond
+	// delayReportInterval is the time between two reports of such a gap.
+	delayReportInterval = 5 * time.Second
 )
 
 // excusePause moves the last events of all streams by the time in which this process did not run: what came meanwhile has not
 // been read yet, and the silence was its own.
-func (s *State) excusePause() {
+func (s *State) excusePause() []Effect {
 	gap := s.now.Sub(s.tickedAt)
 	known := !s.tickedAt.IsZero()
 	s.tickedAt = s.now
 	if !known || gap <= maxTickGap {
-		return
+		return nil
 	}
 	for _, p := range s.calls {
 		if p.lastEventAt = p.lastEventAt.Add(gap - TickInterval); p.lastEventAt.After(s.now) {
 			p.lastEventAt = s.now
 		}
 	}
+	return s.reportDelay(gap)
+}
+
+// reportDelay returns a log line for a late tick, unless there was one shortly before.
+func (s *State) reportDelay(gap time.Duration) []Effect {
+	if !s.delayReportedAt.IsZero() && s.now.Sub(s.delayReportedAt) < delayReportInterval {
+		return nil
+	}
+	s.delayReportedAt = s.now
+	recent := 0
+	for _, p := range s.peers {
+		if s.now.Sub(p.receivedAt) < peerTimeout {
+			recent++
+		}
+	}
+	return []Effect{report(rail.EventProcessDelayed, NewField("gapMs", gap.Milliseconds()), NewField("peers", recent), NewField("calls", len(s.calls)), NewField("suspects", len(s.quarantine.suspects)))}
 }
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"dandelionrail.org/rail"
 )
 
 // tick posts Ticked each TickInterval for the time.
@@ -47,3 +49,18 @@
 		})
 	}
 }
+
+// Guards against a lack of processor time that no log line tells.
+func TestLateTicksAreReported(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	delays := func(gap time.Duration) int {
+		return reportsOf(h.advance(gap).post(Ticked{}), rail.EventProcessDelayed)
+	}
+	is.Equal(delays(time.Minute), 0) // Before the first tick.
+	is.Equal(delays(TickInterval), 0)
+	is.Equal(delays(maxTickGap), 0)
+	is.Equal(delays(maxTickGap+time.Millisecond), 1)
+	is.Equal(delays(maxTickGap+time.Millisecond), 0) // Not again so soon.
+	is.Equal(delays(delayReportInterval), 1)
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -53,8 +53,8 @@
 	sequence      int64
 	leaving       bool
 	upstreamsRead bool
-	// tickedAt is the time of the last Ticked event.
-	tickedAt time.Time
+	// tickedAt is the time of the last Ticked event, delayReportedAt that of the last report of one that was late.
+	tickedAt, delayReportedAt time.Time
 	// pendingRestore is kept until the first configuration is read.
 	pendingRestore *AdmittedRestored
 }
@@ -174,8 +174,8 @@
 
 // ticked performs the periodic work.
 func (s *State) ticked() []Effect {
-	s.excusePause()
-	effects := append(s.registry.dropExpired(s.now), s.registry.releaseReturned(s.now)...)
+	effects := append(s.excusePause(), s.registry.dropExpired(s.now)...)
+	effects = append(effects, s.registry.releaseReturned(s.now)...)
 	if s.registrations.tick(s.now) {
 		s.registrationsChanged()
 	}
--- a/number.go
+++ b/number.go
@@ -74,6 +74,7 @@
 	EventSettingsReloaded     EventNumber = 1200
 	EventListenFailed         EventNumber = 1201
 	EventStoreRestored        EventNumber = 1202
+	EventProcessDelayed       EventNumber = 1203
 	EventConfigurationInForce EventNumber = 1210
 	EventRecordSkipped        EventNumber = 1211
 	EventNewsOutdated         EventNumber = 1212
@@ -165,6 +166,7 @@
 
 	EventSettingsReloaded:     "settings reloaded",
 	EventStoreRestored:        "store was restored from a copy",
+	EventProcessDelayed:       "process was paused or waited for its processor",
 	EventListenFailed:         "listener failed; retrying",
 	EventConfigurationInForce: "configuration in force",
 	EventRecordSkipped:        "store record skipped",
