--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -39,8 +39,8 @@
 	logged map[string]bool
 	// stored holds the suspects as in their newest records in the store.
 	stored map[string]suspect
-	// parts and wholes are the suspects by kind: prompt parts, and requests.
-	parts, wholes suspectKind
+	// partKind and requestKind bound and order the suspects that are prompt parts, and those that are requests.
+	partKind, requestKind suspectKind
 	// added is the number of suspects that were added so far.
 	added int64
 }
@@ -78,7 +78,7 @@
 )
 
 func newQuarantine() *quarantine {
-	return &quarantine{suspects: map[string]*suspect{}, answered: map[string]time.Time{}, trials: map[string]*Call{}, blocked: map[string]time.Time{}, logged: map[string]bool{}, stored: map[string]suspect{}, parts: newSuspectKind(maxSuspects), wholes: newSuspectKind(maxRequestSuspects)}
+	return &quarantine{suspects: map[string]*suspect{}, answered: map[string]time.Time{}, trials: map[string]*Call{}, blocked: map[string]time.Time{}, logged: map[string]bool{}, stored: map[string]suspect{}, partKind: newSuspectKind(maxSuspects), requestKind: newSuspectKind(maxRequestSuspects)}
 }
 
 // partKey returns the key of a part in digests and in the store.
--- a/gateway/suspectlimit.go
+++ b/gateway/suspectlimit.go
@@ -28,8 +28,9 @@
 	rank suspectRank
 }
 
-// suspectKind is what is kept of all suspects of a kind: prompt parts, or requests.
+// suspectKind bounds the suspects of a kind, prompt parts or requests, and orders them by what is news.
 type suspectKind struct {
+	// most is the largest number of them.
 	most int
 	// evictable holds those that ranked lowest when they were compared last, evicted the rank of the last one that was dropped.
 	evictable []rankedSuspect
@@ -42,12 +43,12 @@
 	return suspectKind{most: most, ownNews: list.New(), peerNews: list.New()}
 }
 
-// kind returns what is kept of the requests, or of the parts.
+// kind returns the kind of the requests, or of the parts.
 func (q *quarantine) kind(request bool) *suspectKind {
 	if request {
-		return &q.wholes
+		return &q.requestKind
 	}
-	return &q.parts
+	return &q.partKind
 }
 
 // count returns the number of suspects of the kind.
@@ -75,7 +76,9 @@
 	k := q.kind(request)
 	for q.count(request) >= k.most {
 		if len(k.evictable) == 0 {
-			k.evictable = q.lowestRanked(request)
+			if k.evictable = q.lowestRanked(request); len(k.evictable) == 0 {
+				return
+			}
 		}
 		next := k.evictable[0]
 		k.evictable = k.evictable[1:]
