gateway: event 1203 names the recent peers as event 1212 does

It counted them in a loop of its own, beside recentPeers, under the name of a field that holds names elsewhere.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -38,11 +38,5 @@
 		return nil
 	}
 	s.delayReportedAt = s.now
-	recent := 0
-	for _, p := range s.peers {
-		if s.now.Sub(p.receivedAt) < peerTimeout {
-			recent++
-		}
-	}
-	return []Effect{report(rail.EventProcessDelayed, NewField("gapMs", gap.Milliseconds()), NewField("peers", recent), NewField("calls", len(s.calls)), NewField("suspects", len(s.quarantine.suspects)))}
+	return []Effect{report(rail.EventProcessDelayed, NewField("gapMs", gap.Milliseconds()), NewField("peers", s.recentPeers()), NewField("calls", len(s.calls)), NewField("suspects", len(s.quarantine.suspects)))}
 }
