gateway: parts and requests are cleared by one function

recordAnswer and clearRequest looked the suspect up and compared the times themselves, then called the same function. Behaviour is unchanged: the time that recordAnswer passes is truncated already.

go test ./gateway of the quarantine, suspects, blocked parts and requests, digests and answers: passed (132 s).

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -219,15 +219,17 @@
 	for _, p := range shareableParts(parts) {
 		key := partKey(p)
 		q.answered[key] = at.Truncate(time.Millisecond)
-		if x, ok := q.suspects[key]; ok && q.answered[key].After(x.clearedAt) {
-			q.clear(key, x, q.answered[key])
-		}
+		q.clear(key, q.answered[key])
 	}
 }
 
-// clear clears the suspect of all crashes before the time.
-func (q *quarantine) clear(key string, x *suspect, at time.Time) {
-	if x.clearedAt = at; len(x.crashes) > 0 {
+// clear clears the part or the request, if it is suspected, of all crashes before the time.
+func (q *quarantine) clear(key string, at time.Time) {
+	x, ok := q.suspects[key]
+	if !ok || !at.After(x.clearedAt) {
+		return
+	}
+	if x.clearedAt = at.Truncate(time.Millisecond); len(x.crashes) > 0 {
 		q.changed = true
 		q.noteOwnChange(key, x)
 	}
--- a/gateway/requestkey.go
+++ b/gateway/requestkey.go
@@ -102,14 +102,7 @@
 // recordRequestAnswer records that an upstream answered a call of the team.
 func (q *quarantine) recordRequestAnswer(c *Call, team string, at time.Time) {
 	if q.requests > 0 {
-		q.clearRequest(c.requestKey(team), at)
-	}
-}
-
-// clearRequest clears the request, if it is suspected, of all crashes before the time.
-func (q *quarantine) clearRequest(key string, at time.Time) {
-	if x, ok := q.suspects[key]; ok && at.After(x.clearedAt) {
-		q.clear(key, x, at.Truncate(time.Millisecond))
+		q.clear(c.requestKey(team), at)
 	}
 }
 
--- a/gateway/unconfirmedanswer.go
+++ b/gateway/unconfirmedanswer.go
@@ -52,7 +52,7 @@
 		case sentAt.Before(a.endedAt):
 			return false
 		}
-		s.quarantine.clearRequest(a.key, a.seenAt)
+		s.quarantine.clear(a.key, a.seenAt)
 		if a.parts != nil {
 			s.quarantine.recordAnswer(a.parts, a.seenAt)
 		}
