Review case 8: a usage window is reported twice after a restore soon after the first start

Shows that ONE is broken: the store comes back from a copy that was made before the first lease, while the holder of the duties is killed. The process that starts again takes the empty topic for that of the first start, takes the lease at once and reports the window again with other counts.

--- a/review/stand2/gateway_test.go
+++ b/review/stand2/gateway_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -154,6 +155,15 @@
 	return nil
 }
 
+// notFirstStart rewrites the settings for a restart, as the platform does: Bootstrap is true in the first start of the system only.
+func (g *gateway) notFirstStart() error {
+	text, err := os.ReadFile(g.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(g.settings, []byte(strings.Replace(string(text), "Bootstrap=true", "Bootstrap=false", 1)), 0o600)
+}
+
 func (g *gateway) signal(s syscall.Signal) { _ = g.cmd.Process.Signal(s) }
 
 // stop ends the process.
--- a/review/stand2/store_test.go
+++ b/review/stand2/store_test.go
@@ -25,15 +25,25 @@
 	fences map[string]int64
 	usage  map[int64]map[string]int64
 	rec    *recorder
+	// era rises with each restore from a copy; away makes the store turn calls away meanwhile.
+	era  int64
+	away bool
+	// differing counts the usage reports that were accepted for a window with other counts than before.
+	differing int
+	holder    string
 }
 
-type storeRecord struct{ data []byte }
+// storeRecord is a record with the time at which it was written.
+type storeRecord struct {
+	data []byte
+	at   time.Time
+}
 
 func (r storeRecord) key() string   { return string(r.data[1 : 1+int(r.data[0])]) }
 func (r storeRecord) value() []byte { return r.data[1+int(r.data[0]):] }
 
 func newStore(rec *recorder) *store {
-	return &store{topics: map[string][]storeRecord{}, changed: make(chan struct{}), delay: 4 * time.Millisecond, fences: map[string]int64{}, usage: map[int64]map[string]int64{}, rec: rec}
+	return &store{topics: map[string][]storeRecord{}, changed: make(chan struct{}), delay: 4 * time.Millisecond, fences: map[string]int64{}, usage: map[int64]map[string]int64{}, rec: rec, era: 1}
 }
 
 // listen serves the store at a free loopback port and returns its address.
@@ -48,10 +58,67 @@
 	mux.HandleFunc("GET /-/log-newest", s.newest)
 	mux.HandleFunc("POST /usage", s.reportUsage)
 	mux.HandleFunc("POST /scale", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.announced(mux)) }()
 	return l.Addr().String(), nil
 }
 
+// announced names the era in all answers, and turns calls away while the store is away.
+func (s *store) announced(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+		s.mu.Unlock()
+		if away && strings.HasPrefix(r.URL.Path, "/-/") {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// restore lets the store be away for the time, and come back from a copy of the moment. What the operator and the workers wrote since
+// is written again.
+func (s *store) restore(copied time.Time, away time.Duration) {
+	s.mu.Lock()
+	s.away = true
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+	s.era++
+	for name, records := range s.topics {
+		n := len(records)
+		for n > 0 && records[n-1].at.After(copied) {
+			n--
+		}
+		s.topics[name] = records[:n:n]
+		if name != "keyed.op" && name != "keyed.servers" {
+			continue
+		}
+		lost := map[string][]byte{}
+		for _, x := range records[n:] {
+			lost[x.key()] = x.data
+		}
+		for _, data := range lost {
+			s.add(name, data)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// firstWrite returns when the first record of a topic was written, zero if there is none.
+func (s *store) firstWrite(topic string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.topics[topic]) == 0 {
+		return time.Time{}
+	}
+	return s.topics[topic][0].at
+}
+
 // put writes a record of a keyed topic, as the operator and the workers do; without a value the key is dropped.
 func (s *store) put(topic, key string, value []byte) {
 	s.mu.Lock()
@@ -60,7 +127,7 @@
 }
 
 func (s *store) add(topic string, data []byte) {
-	s.topics[topic] = append(s.topics[topic], storeRecord{data})
+	s.topics[topic] = append(s.topics[topic], storeRecord{data, time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -108,6 +175,7 @@
 	for {
 		s.mu.Lock()
 		records, changed := s.topics[name], s.changed
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10)) // It may have been restored while the read waited.
 		s.mu.Unlock()
 		end := int64(len(records))
 		if from > end {
@@ -188,29 +256,11 @@
 	}
 	s.fences["usage"] = fence
 	if before, ok := s.usage[report.Window]; ok && !maps.Equal(before, report.Counts) {
+		s.differing++
 		s.rec.line("usage of window %d accepted with different counts: %v and %v", report.Window, before, report.Counts)
 	}
 	s.usage[report.Window] = report.Counts
+	s.holder = r.Header.Get("X-Duty-Holder")
 	s.rec.line("usage of window %d from %s, fence %d: %v", report.Window, r.Header.Get("X-Duty-Holder"), fence, report.Counts)
 	w.WriteHeader(http.StatusOK)
 }
-
-// keys returns the keys of a topic that have a value now.
-func (s *store) keys(topic string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	live := map[string]bool{}
-	for _, x := range s.topics[topic] {
-		if live[x.key()] = len(x.value()) > 0; !live[x.key()] {
-			delete(live, x.key())
-		}
-	}
-	var keys []string
-	for k := range live {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
-func trimmed(s string) string { return strings.TrimSpace(s) }
