Moves of streams to other upstreams are logged and counted by cause

Nothing told why a stream had moved, nor whether its run at the engine before had been seen to end. Event 1249 and rail_stream_moves_total name the cause (silence, failover, connection, failure, forward), the time since the last event, and how the end was seen; today that is always unseen.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -422,8 +422,9 @@
 	}
 	blockedFor, blocked := s.quarantined(c, p.teamName())
 	if !o.final && !blocked && !p.forwarded && s.mayRetry(p, notRun) && s.now.Add(deadlineMargin).Before(p.deadline) {
+		moved := s.reportMove(c, p, o)
 		if next := s.nextAttempt(c, p, o); next != nil {
-			return append(effects, next...)
+			return append(append(effects, moved...), next...)
 		}
 	}
 	if o.answered {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 type Metrics interface {
 	// Attempt counts an attempt at an upstream.
 	Attempt(route rail.RouteName)
+	// StreamMoved counts a stream that goes on at another upstream, by the cause and by how the run at the upstream before was seen to end.
+	StreamMoved(cause, ending string)
 	// RequestDone counts a completed request and records its duration.
 	RequestDone(route rail.RouteName, kind rail.Kind, took time.Duration)
 	// FirstToken records a request's time to first token.
@@ -111,6 +113,8 @@
 			}
 		case Probe:
 			g.sender.Probe(x, func(ok bool) { g.Post(NewProbeEnded(x.upstream.id, ok)) })
+		case StreamMoved:
+			g.metrics.StreamMoved(string(x.cause), string(x.ending))
 		case SpilloverUpdated:
 			x.record(g.metrics)
 		}
--- a/number.go
+++ b/number.go
@@ -106,6 +106,7 @@
 	EventPartitionBegan       EventNumber = 1246
 	EventPartitionEnded       EventNumber = 1247
 	EventForwardRefused       EventNumber = 1248
+	EventStreamMoved          EventNumber = 1249
 	EventDutyAcquired         EventNumber = 1250
 	EventDutyLost             EventNumber = 1251
 	EventUsageReported        EventNumber = 1252
@@ -207,6 +208,7 @@
 	EventPartitionBegan:       "upstreams of a service are unreachable from this gateway; its calls are forwarded to peers",
 	EventPartitionEnded:       "upstreams of a service are reachable again",
 	EventForwardRefused:       "peer refused a forwarded call or was unreachable",
+	EventStreamMoved:          "stream goes on at another upstream",
 	EventSuspectsNotStored:    "suspected prompt parts and requests were not written to the store",
 	EventRequestLimitNamed:    "upstream named a request limit",
 	EventRequestLimitEnded:    "upstream names no request limit any more",
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -27,6 +27,7 @@
 	firstToken metric.Float64Histogram
 	tokens     metric.Int64Counter
 	attempts   metric.Int64Counter
+	moves      metric.Int64Counter
 	dropped    metric.Int64Counter
 	upstreams  metric.Int64Gauge
 	refused    metric.Int64Counter
@@ -54,6 +55,7 @@
 		{&t.requests, "rail.requests", "{request}"},
 		{&t.tokens, "rail.tokens", "{token}"},
 		{&t.attempts, "rail.attempts", "{attempt}"},
+		{&t.moves, "rail.stream.moves", "{stream}"},
 		{&t.dropped, "rail.dropped", "{event}"},
 		{&t.refused, "rail.intake.refused", "{item}"},
 		{&t.routedRequests, "rail.domain.requests", "{request}"},
@@ -137,6 +139,11 @@
 	t.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", string(route))))
 }
 
+// StreamMoved counts a stream that goes on at another upstream, by the cause and by how the run at the upstream before was seen to end.
+func (t *Telemetry) StreamMoved(cause, ending string) {
+	t.moves.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause), attribute.String("ending", ending)))
+}
+
 // Dropped counts an event that was dropped because a bounded queue was full.
 func (t *Telemetry) Dropped(queue string) {
 	t.dropped.Add(context.Background(), 1, metric.WithAttributes(attribute.String("queue", queue)))
