A stream goes on at another engine once its run at the first has ended

What callers saw: whole streams, but for 0.4 to 3 s two engines worked on one of them (TWICE). Where the answers of the engines differ, or they are full, callers pay for both.

Cause: each of silence, the failover timeout, the end of a connection and the end of a forward was taken for the end of the run. None is: an engine may go on after a silence, and a reset takes its time to be read, or stays in a relay. What kept the rule was the margin of 400 ms.

Change: package runend decides from reports of the engine (GET /-/report, Runs), refused and timed out connections whether a run has ended; the call waits until then, or ends when its caller would leave. An attempt is aborted for silence or the failover timeout only where the end can be seen. A peer that makes the next attempt awaits the end itself (Rail-Forward-Running, optional).

Ruled out: a larger time limit (it only moves the length of the silence), and timeouts of new connections while that of the stream is open (the queue of an engine that accepts none looks the same).

Tests of the reducer that took silence for the end now let the engine report that it runs nothing; streams that are silent for up to 3 s stay.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/runend"
 )
 
 // pendingCall is a call in flight.
@@ -42,6 +43,8 @@
 	// forwarded reports whether a peer forwarded the call, which leaves attemptsLeft to this gateway.
 	forwarded    bool
 	attemptsLeft int
+	// previous is the last attempt of a stream that may have run, nil if there was none.
+	previous *previousRun
 	// expectedFirst is the expected time to the current attempt's first token, expectedStep that of each token after it.
 	expectedFirst, expectedStep time.Duration
 	// idlePrompt is the number of the prompt tokens that the current attempt's engine had to process, zero if that is not certain or it
@@ -368,6 +371,11 @@
 	if !ok {
 		return s.queuedDisconnected(c)
 	}
+	if _, waits := s.moves[c]; waits {
+		delete(s.moves, c)
+		delete(s.calls, c)
+		return []Effect{report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", p.previous.upstreamID), NewField("peer", ""), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()))}
+	}
 	s.releaseLoad(p)
 	p.target.refusal.end(c, Outcome{kind: rail.KindCancelled}, s.now)
 	var effects []Effect
@@ -408,8 +416,7 @@
 	if o.lastEventID != "" {
 		p.resume = o.lastEventID
 	}
-	notRun := o.kind.Reply().Run() == rail.NotRun
-	if notRun {
+	if o.kind.Reply().Run() == rail.NotRun {
 		p.countRefusal(o)
 		if o.kind == rail.KindUpstreamReplaced && p.peer == "" {
 			effects = append(effects, s.registry.markLeaving(t.start(), "upstream")...)
@@ -419,16 +426,30 @@
 		if !p.route.streaming {
 			s.countUsage(p)
 		}
+		if s.tracksRuns(p) && !o.answered {
+			p.previous = s.previousRun(c, p, o)
+		}
 	}
-	blockedFor, blocked := s.quarantined(c, p.teamName())
+	return append(effects, s.continueCall(c, p, o)...)
+}
+
+// continueCall starts another attempt after one that ended with the outcome, or ends the call.
+func (s *State) continueCall(c *Call, p *pendingCall, o Outcome) []Effect {
+	notRun := o.kind.Reply().Run() == rail.NotRun
+	_, blocked := s.quarantined(c, p.teamName())
 	if !o.final && !blocked && !p.forwarded && s.mayRetry(p, notRun) && s.now.Add(deadlineMargin).Before(p.deadline) {
-		moved := s.reportMove(c, p, o)
 		if next := s.nextAttempt(c, p, o); next != nil {
-			return append(append(effects, moved...), next...)
+			return next
 		}
 	}
+	return s.endCall(c, p, o)
+}
+
+// endCall ends a call whose last attempt ended with the outcome.
+func (s *State) endCall(c *Call, p *pendingCall, o Outcome) []Effect {
+	blockedFor, blocked := s.quarantined(c, p.teamName())
 	if o.answered {
-		return append(append(effects, s.finish(c, p, o, "failed upstream")...), Deliver{call: c})
+		return append(s.finish(c, p, o, "failed upstream"), Deliver{call: c})
 	}
 	kind, wait := o.kind, noUpstreamRetryAfter/2
 	if kind == rail.KindUpstreamFull {
@@ -449,7 +470,7 @@
 	if p.possibleRuns == 0 {
 		s.refund(p)
 	}
-	return append(effects, s.refuse(c, p, kind, wait)...)
+	return s.refuse(c, p, kind, wait)
 }
 
 // recordAttempt records what the outcome of an attempt tells of the upstream, or of the peer that made it.
@@ -490,10 +511,13 @@
 func (s *State) nextAttempt(c *Call, p *pendingCall, o Outcome) []Effect {
 	free := o.kind == rail.KindUpstreamUnreachable || p.refusedByPeer(o)
 	cut := s.partitioned(p.service.name)
+	if p.previous != nil && p.previous.upstreamID == "" {
+		return nil // A peer has lost the call, and did not say which upstream runs it.
+	}
 	if cut || p.unreachable >= minUnreachable {
 		if peer, ok := s.choosePeer(c, p); ok {
 			if free || s.spendRetry(p) {
-				return s.forward(c, p, peer)
+				return append(s.reportMove(c, p, o), s.forward(c, p, peer)...)
 			}
 			return nil
 		}
@@ -502,13 +526,16 @@
 		return nil
 	}
 	if next, wait := s.chooseUpstream(c, p); next != nil {
-		if free || s.spendRetry(p) {
-			return s.dispatch(c, p, next, wait)
+		if s.endingOf(p) == runend.Unseen {
+			return s.holdMove(c, p, o)
 		}
-		return nil
+		if !free && !s.spendRetry(p) {
+			return nil
+		}
+		return append(s.reportMove(c, p, o), s.dispatch(c, p, next, wait)...)
 	}
 	if peer, ok := s.choosePeer(c, p); ok && p.unreachable > 0 && free {
-		return s.forward(c, p, peer)
+		return append(s.reportMove(c, p, o), s.forward(c, p, peer)...)
 	}
 	return nil
 }
@@ -541,6 +568,9 @@
 	if p.retryReserved {
 		return true
 	}
+	if p.peer != "" && s.tracksRuns(p) {
+		return false // The peer, which reaches the upstream, sees what becomes of the run.
+	}
 	if p.forwarded {
 		return false // The gateway that has the caller decides.
 	}
@@ -578,10 +608,22 @@
 // failOver aborts the call's attempt, which has not been answered in time, if another one may follow.
 func (s *State) failOver(c *Call) []Effect {
 	p, ok := s.calls[c]
-	if !ok || !s.reserveRetry(c, p, func(*target) bool { return true }) {
+	if !ok {
 		return nil
 	}
-	return []Effect{Abort{call: c, kind: rail.KindUpstreamSilent}}
+	var checks []Effect
+	if s.tracksRuns(p) && p.peer == "" {
+		if !s.hasNext(c, p, func(*target) bool { return true }) {
+			return nil
+		}
+		if checks = s.checkEngine(p.target.Upstream, silenceCheckInterval); !s.endObservable(p) {
+			return checks
+		}
+	}
+	if !s.reserveRetry(c, p, func(*target) bool { return true }) {
+		return checks
+	}
+	return append(checks, Abort{call: c, kind: rail.KindUpstreamSilent})
 }
 
 // upstreamKind returns the error kind as far as the upstream is to blame.
@@ -644,26 +686,32 @@
 	silentEngineTimeout = time.Second
 	// minSilentStreams is the number of streams needed to distinguish a silent engine from a slow request.
 	minSilentStreams = 2
-	// minStallTimeout, stallGoals and stallGaps bound the time without an event after which a stream counts as stalled:
-	// callers leave after two seconds, four times the goal or eight times the goal for gaps, whichever is longest.
-	minStallTimeout = 2 * time.Second
-	stallGoals      = 4
-	stallGaps       = 8
-	// stallMargin is what is added to that time, so that a caller that waits decides first.
+	// minPatience, patienceGoals and patienceGaps bound the time without an event after which callers leave:
+	// two seconds, four times the goal or eight times the goal for gaps, whichever is longest.
+	minPatience   = 2 * time.Second
+	patienceGoals = 4
+	patienceGaps  = 8
+	// stallMargin is added to that time before a stream counts as stalled, so that a caller that waits decides first.
 	stallMargin = 500 * time.Millisecond
 )
 
 // silenceTimeout returns the time without an event after which an engine counts as silent for streams of the route. A gap
 // within the route's goal is none; progress is reported with a delay.
 func (r *Route) silenceTimeout() time.Duration {
-	return max(silentEngineTimeout, r.gapGoal+progressInterval)
+	return max(silentEngineTimeout, r.quietTimeout())
 }
 
-// stallTimeout returns the time after an event in which a stream of the route must have another one, whatever bytes arrive.
-func (r *Route) stallTimeout() time.Duration {
-	return max(minStallTimeout, stallGoals*r.goal, stallGaps*r.gapGoal) + stallMargin
+// quietTimeout returns the time without an event after which an engine is asked what it runs.
+func (r *Route) quietTimeout() time.Duration { return r.gapGoal + progressInterval }
+
+// patience returns how long callers of the route wait for the next event.
+func (r *Route) patience() time.Duration {
+	return max(minPatience, patienceGoals*r.goal, patienceGaps*r.gapGoal)
 }
 
+// stallTimeout returns the time after an event in which a stream of the route must have another one, whatever bytes arrive.
+func (r *Route) stallTimeout() time.Duration { return r.patience() + stallMargin }
+
 // abortSilent aborts the streams that stalled, and the attempts at engines that stopped sending on all their streams at once if
 // another attempt can go on with the stream.
 func (s *State) abortSilent() []Effect {
@@ -689,17 +737,27 @@
 	var effects []Effect
 	taken := room{}
 	for c, p := range s.calls {
+		if _, waits := s.moves[c]; waits {
+			continue
+		}
 		if p.gotFirstToken && p.route.streaming && s.now.Sub(p.lastEventAt) >= p.route.stallTimeout() {
 			effects = append(effects, Abort{call: c, kind: rail.KindUpstreamSilent})
 			continue
 		}
 		a := activity[p.target]
-		if a == nil || s.now.Sub(a.last) < p.route.silenceTimeout() || !p.route.mayResume() || p.runsLeft() <= 1 {
+		if a == nil || s.now.Sub(a.last) < p.route.quietTimeout() || !p.route.mayResume() || p.runsLeft() <= 1 {
 			continue
 		}
 		if a.streams < minSilentStreams && !s.peersSilent(p.target.domain) {
 			continue
 		}
+		tracked := s.tracksRuns(p) && p.peer == ""
+		if tracked {
+			effects = append(effects, s.checkEngine(p.target.Upstream, silenceCheckInterval)...)
+		}
+		if s.now.Sub(a.last) < p.route.silenceTimeout() || (tracked && !s.mayAbandon(c, p)) {
+			continue
+		}
 		if !s.reserveRetry(c, p, taken.take) {
 			continue
 		}
@@ -710,7 +768,7 @@
 
 // abortAll aborts all attempts, so that none is followed by another one, and refuses the calls that wait.
 func (s *State) abortAll() []Effect {
-	effects := s.refuseAllQueued(leftShutdown, rail.KindLeaving)
+	effects := append(s.refuseAllQueued(leftShutdown, rail.KindLeaving), s.endMoves()...)
 	for c, p := range s.calls {
 		p.deadline = s.now
 		effects = append(effects, Abort{call: c, kind: rail.KindDeadlinePassed})
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -30,12 +30,42 @@
 	return nil
 }
 
+// holds reports whether a call is to wait.
+func holds(effects []Effect) bool {
+	return slices.ContainsFunc(effects, func(e Effect) bool { _, ok := e.(Hold); return ok })
+}
+
 func (h *harness) arrive(c *Call) Effect { return callEffect(h.post(CallArrived{call: c})) }
 
 func (h *harness) end(c *Call, o Outcome) Effect {
 	return callEffect(h.post(AttemptEnded{call: c, outcome: o}))
 }
 
+// endSeen ends an attempt at an engine, and lets a report show that its run has ended too.
+func (h *harness) endSeen(c *Call, o Outcome) Effect {
+	engine := h.state.calls[c].target.id
+	effects := h.post(AttemptEnded{call: c, outcome: o})
+	if !holds(effects) {
+		return callEffect(effects)
+	}
+	return callEffect(h.advance(time.Second).checked(engine))
+}
+
+// idle posts Ticked each TickInterval for the time, in which the engines report that they run nothing.
+func (h *harness) idle(d time.Duration) []Effect {
+	var effects []Effect
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.advance(min(TickInterval, end.Sub(h.now)))
+		for start, k := range h.state.checks {
+			if k.pending {
+				effects = append(effects, h.checked(start.id)...)
+			}
+		}
+		effects = append(effects, h.post(Ticked{})...)
+	}
+	return effects
+}
+
 func newServingHarness(upstreams ...Upstream) *harness {
 	h := newHarness()
 	h.post(NewConfigRead(testConfig(1), "store"))
@@ -77,7 +107,7 @@
 			for _, o := range c.outcomes {
 				_, sent := e.(Send)
 				is.True(sent)
-				e = h.end(call, o)
+				e = h.endSeen(call, o)
 			}
 			got := ""
 			switch e := e.(type) {
@@ -182,14 +212,14 @@
 	}
 	h.list(UpstreamSet(testEngine("b", "north")))
 	h.advance(silentEngineTimeout / 2).post(StreamProgressed{call: calls[0]})
-	is.Equal(len(aborts(h.tick(silentEngineTimeout/2))), 0) // One stream still progresses.
-	is.Equal(len(abortedCalls(h.tick(silentEngineTimeout))), 3)
+	is.Equal(len(aborts(h.idle(silentEngineTimeout/2))), 0) // One stream still progresses.
+	is.Equal(len(abortedCalls(h.idle(silentEngineTimeout))), 3)
 }
 
 // Guards against a stream that runs at two engines, since the first one is only silent for about a second and goes on with it (TWICE).
 func TestStreamsOfAnEngineThatIsSilentForASecondRunOnce(t *testing.T) {
 	const copyTime = 400 * time.Millisecond // For which a stream may run at two engines.
-	for _, silence := range []time.Duration{500 * time.Millisecond, time.Second, 1200 * time.Millisecond} {
+	for _, silence := range []time.Duration{500 * time.Millisecond, time.Second, 1200 * time.Millisecond, 1450 * time.Millisecond, 3 * time.Second} {
 		t.Run(silence.String(), func(t *testing.T) {
 			is := is.New(t)
 			h := newServingHarness(testEngine("a", "north"))
@@ -241,7 +271,11 @@
 			}
 			h.list(UpstreamSet(testEngine("b", "north")))
 			c.prepare(h)
-			aborted := aborts(h.advance(time.Second).post(Ticked{}))
+			h.advance(time.Second).post(Ticked{})
+			var aborted []Abort
+			for n := 0; n < 5 && len(aborted) == 0; n++ {
+				aborted = aborts(h.idle(TickInterval))
+			}
 			is.Equal(len(aborted), c.aborted)
 			for _, a := range aborted {
 				next, ok := h.end(a.call, Outcome{kind: a.kind, events: 3, lastEventID: "3"}).(Send)
--- a/gateway/callqueue_test.go
+++ b/gateway/callqueue_test.go
@@ -14,6 +14,7 @@
 
 	"dandelionrail.org/rail"
 	"dandelionrail.org/rail/admission"
+	"dandelionrail.org/rail/runend"
 	"dandelionrail.org/rail/simtime"
 )
 
@@ -239,6 +240,8 @@
 
 func (*streamSender) Probe(Probe, func(bool)) {}
 
+func (*streamSender) Check(CheckEngine, func(runend.Check)) {}
+
 // Guards against a relay that misses the effect that ends its wait, or the end of its caller.
 func TestRelayWaitsForCapacity(t *testing.T) {
 	simtime.Run(t, func(t *testing.T) {
--- a/gateway/enginefleet_test.go
+++ b/gateway/enginefleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/runend"
 )
 
 // engineFleet plays requests at gateways that exchange digests, and at engines. Each engine crashes when it begins to answer a
@@ -23,6 +24,8 @@
 	stored  []storedSuspect
 	// read is how many of the stored records each gateway has read.
 	read map[string]int
+	// held are the calls whose next attempts wait until their last runs have ended.
+	held map[*Call]*simulatedCall
 	// only is the gateway that gets all requests, empty if they go to all.
 	only string
 	// answerTimes returns the time to the first event and from then to the last, nil for times that do not depend on the load.
@@ -112,7 +115,8 @@
 )
 
 func newEngineFleet(gateways, domains, engines int, seed uint64) *engineFleet {
-	f := &engineFleet{simulatedCells: newSimulatedCells(gateways, domains), random: rand.New(rand.NewPCG(seed, 7)), phases: map[string]time.Duration{}, engines: map[string]*simulatedEngine{}, read: map[string]int{}}
+	f := &engineFleet{simulatedCells: newSimulatedCells(gateways, domains), random: rand.New(rand.NewPCG(seed, 7)), phases: map[string]time.Duration{}, engines: map[string]*simulatedEngine{}, read: map[string]int{}, held: map[*Call]*simulatedCall{}}
+	f.ticked = func(s *State, effects []Effect) { f.answerChecks(s.settings.name, effects) }
 	f.exchanged = func(a, b *State) { // The one that has read less of the store fetches the rest from the other one.
 		next := max(f.read[a.settings.name], f.read[b.settings.name])
 		f.readStored(a, next)
@@ -242,6 +246,11 @@
 
 // carryOut carries out the effect of a call.
 func (f *engineFleet) carryOut(x *simulatedCall, effects []Effect) {
+	f.answerChecks(x.gateway, effects)
+	if holds(effects) {
+		f.held[x.call] = x
+		return
+	}
 	switch e := callEffect(effects).(type) {
 	case Refuse:
 		x.refused, x.retryAfter = e.kind, e.retryAfter
@@ -263,6 +272,37 @@
 	}
 }
 
+// answerChecks answers the gateway's checks of engines among the effects, and carries out the effects of calls that waited for them.
+func (f *engineFleet) answerChecks(name string, effects []Effect) {
+	for _, e := range effects {
+		if check, ok := e.(CheckEngine); ok {
+			startedAt := f.now
+			f.after(time.Millisecond, func() {
+				if !f.down[name] {
+					f.answerChecks(name, f.states[name].Reduce(f.now, NewEngineChecked(check, f.check(check.upstream, startedAt))))
+				}
+			})
+		}
+		if x, waited := f.held[effectCall(e)]; waited {
+			delete(f.held, x.call)
+			f.carryOut(x, []Effect{e})
+		}
+	}
+}
+
+// check returns the answer of an engine that is asked at the time.
+func (f *engineFleet) check(u Upstream, at time.Time) runend.Check {
+	engine := f.engines[u.id]
+	if engine.down {
+		return runend.NewCheck(at, runend.Refused)
+	}
+	ids := make([]string, 0, len(engine.runs))
+	for _, r := range engine.runs {
+		ids = append(ids, r.call.id)
+	}
+	return runend.NewReport(at, runend.NewRuns(ids, 0))
+}
+
 // times sets the time of a run from its first event to its last, and returns that to the first.
 func (f *engineFleet) times(r *simulatedRun) time.Duration {
 	if f.answerTimes == nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -8,6 +8,8 @@
 	configVersion int64
 	tried         []string
 	attemptsLeft  int
+	// running is the id of the upstream at which the stream may still run, empty if there is none.
+	running string
 }
 
 // Team returns the name of the call's team, empty if it has none.
@@ -22,6 +24,9 @@
 // AttemptsLeft returns how many attempts may run, this one included.
 func (f forwardTerms) AttemptsLeft() int { return f.attemptsLeft }
 
+// Running returns the id of the upstream at which the stream may still run, empty if there is none.
+func (f forwardTerms) Running() string { return f.running }
+
 // Forward describes an attempt that a peer makes on behalf of this gateway: the peer chooses the upstream.
 type Forward struct {
 	forwardTerms
@@ -30,7 +35,13 @@
 
 // NewForward returns the description of an attempt of the team's call at the named peer.
 func NewForward(peer, address, key, team string, configVersion int64, tried []string, attemptsLeft int) Forward {
-	return Forward{forwardTerms: forwardTerms{team, configVersion, tried, attemptsLeft}, peer: peer, address: address, key: key}
+	return Forward{forwardTerms: forwardTerms{team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}, peer: peer, address: address, key: key}
+}
+
+// WithRunning returns the description of an attempt that begins once the run at the upstream has ended; an empty id names none.
+func (f Forward) WithRunning(upstreamID string) Forward {
+	f.running = upstreamID
+	return f
 }
 
 // Peer returns the name of the peer.
@@ -50,7 +61,13 @@
 
 // NewForwarded returns the description of a call from the named gateway, which admitted it for the team, empty for none.
 func NewForwarded(from, team string, configVersion int64, tried []string, attemptsLeft int) Forwarded {
-	return Forwarded{forwardTerms: forwardTerms{team, configVersion, tried, attemptsLeft}, from: from}
+	return Forwarded{forwardTerms: forwardTerms{team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}, from: from}
+}
+
+// WithRunning returns the description of a call that begins once the run at the upstream has ended; an empty id names none.
+func (f Forwarded) WithRunning(upstreamID string) Forwarded {
+	f.running = upstreamID
+	return f
 }
 
 // From returns the name of the gateway that has the caller.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/runend"
 )
 
 // Sender performs attempts at upstreams.
@@ -16,6 +17,8 @@
 	Send(ctx context.Context, e Send) (*Answer, error)
 	// Probe starts to ask the upstream for a sign that it is reached, without blocking, and reports whether it gave one.
 	Probe(e Probe, report func(ok bool))
+	// Check starts to ask an engine for its report, without blocking, and reports the answer.
+	Check(e CheckEngine, report func(runend.Check))
 }
 
 // Log writes log lines without blocking.
@@ -113,6 +116,8 @@
 			}
 		case Probe:
 			g.sender.Probe(x, func(ok bool) { g.Post(NewProbeEnded(x.upstream.id, ok)) })
+		case CheckEngine:
+			g.sender.Check(x, func(c runend.Check) { g.Post(NewEngineChecked(x, c)) })
 		case StreamMoved:
 			g.metrics.StreamMoved(string(x.cause), string(x.ending))
 		case SpilloverUpdated:
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -134,7 +134,7 @@
 // forward lets the peer make the next attempt of the call.
 func (s *State) forward(c *Call, p *pendingCall, peer string) []Effect {
 	r := s.registrations.byName[peer]
-	f := NewForward(peer, r.forwardAddress, r.accessKey, p.teamName(), s.config.version, slices.Clone(p.triedIDs), p.runsLeft())
+	f := NewForward(peer, r.forwardAddress, r.accessKey, p.teamName(), s.config.version, slices.Clone(p.triedIDs), p.runsLeft()).WithRunning(s.runningFor(p))
 	p.attempts++
 	p.target, p.peer, p.version = s.hop(peer, r).target, peer, versionKey{}
 	p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = false, false, false, s.now, s.now
@@ -231,5 +231,8 @@
 			p.tried[t] = true
 		}
 	}
+	if f.running != "" && s.tracksRuns(p) {
+		return s.holdForwarded(c, p, f.running)
+	}
 	return s.place(c, p)
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "dandelionrail.org/rail"
+import (
+	"time"
+
+	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/runend"
+)
 
 // moveCause is why a stream goes on at another upstream.
 type moveCause string
@@ -17,20 +22,90 @@
 	causeFailure moveCause = "failure"
 )
 
-// moveEnding is how the run at the upstream before was seen to end.
-type moveEnding string
-
-// endingUnseen is a run that may still be in progress when the stream goes on.
-const endingUnseen moveEnding = "unseen"
+// Endings that are not found by checks of the engine.
+const (
+	// endingRestarted is a run at an engine that has started again since.
+	endingRestarted runend.Ending = "restarted"
+	// endingAtPeer is a run whose end the peer that makes the next attempt awaits.
+	endingAtPeer runend.Ending = "atPeer"
+)
 
 // StreamMoved reports a stream that goes on at another upstream.
 type StreamMoved struct {
 	cause  moveCause
-	ending moveEnding
+	ending runend.Ending
 }
 
 func (StreamMoved) gatewayEffect() {}
 
+// previousRun is an attempt of a stream that may have run, and may still run.
+type previousRun struct {
+	// upstreamID is empty if a peer made the attempt and did not say where.
+	upstreamID string
+	// upstream is the upstream's entry, known whether there is one.
+	upstream Upstream
+	known    bool
+	byPeer   bool
+	run      runend.Run
+	cause    moveCause
+	eventAt  time.Time // Of the last event.
+	ending   runend.Ending
+}
+
+// move is a call whose next attempt waits until its previous run has ended.
+type move struct {
+	// outcome is that of the previous attempt at this gateway.
+	outcome Outcome
+	since   time.Time
+	// forwarded reports whether a peer made that attempt and forwarded the call, which has not been placed here yet.
+	forwarded bool
+}
+
+// tracksRuns reports whether the call may run at one upstream at a time, and the upstreams list their runs.
+func (s *State) tracksRuns(p *pendingCall) bool {
+	return p.route.streaming && p.service.isEngine()
+}
+
+// previousRun describes the call's attempt that ended with the outcome.
+func (s *State) previousRun(c *Call, p *pendingCall, o Outcome) *previousRun {
+	x := &previousRun{byPeer: p.peer != "", cause: p.moveCause(o), eventAt: p.lastEventAt, ending: runend.Unseen}
+	if x.byPeer {
+		x.upstreamID = o.placement
+		x.upstream, x.known = s.upstreamEntry(o.placement)
+		x.run = runend.NewRun(c.id, p.sentAt).Aborted(s.now) // What ended is the connection to the peer.
+		return x
+	}
+	x.upstreamID, x.upstream, x.known = p.target.id, p.target.Upstream, true
+	x.run = p.currentRun(c)
+	switch {
+	case o.brokenOff():
+		x.run = x.run.BrokenOff(s.now)
+	case o.kind == rail.KindUpstreamFailed && o.timedOut:
+		x.run = x.run.TimedOut(s.now)
+	default:
+		x.run = x.run.Aborted(s.now)
+	}
+	return x
+}
+
+// currentRun describes the call's attempt in progress.
+func (p *pendingCall) currentRun(c *Call) runend.Run {
+	run := runend.NewRun(c.id, p.sentAt)
+	if p.gotFirstToken {
+		run = run.WithEvent(p.firstTokenAt)
+	}
+	return run
+}
+
+// upstreamEntry returns the entry of an upstream that is listed or was lately, false if there is none.
+func (s *State) upstreamEntry(id string) (Upstream, bool) {
+	if t, ok := s.registry.targets[id]; ok {
+		return t.Upstream, true
+	}
+	d, ok := s.registry.departed[id]
+	return d.Upstream, ok
+}
+
 // moveCause returns why the next attempt follows one that ended with the outcome.
 func (p *pendingCall) moveCause(o Outcome) moveCause {
 	switch {
@@ -46,12 +121,144 @@
 	return causeFailure
 }
 
+// endingOf returns how the call's previous run was seen to end.
+func (s *State) endingOf(p *pendingCall) runend.Ending {
+	x := p.previous
+	if x == nil {
+		return ""
+	}
+	if x.ending == runend.Unseen && x.known {
+		x.ending = s.endingAt(x.upstream.start(), x.run)
+	}
+	return x.ending
+}
+
+// endingAt returns how a run at the start of an engine was seen to end.
+func (s *State) endingAt(start upstreamStart, run runend.Run) runend.Ending {
+	if t, ok := s.registry.targets[start.id]; ok && t.startedAtMs > start.startedAtMs {
+		return endingRestarted
+	}
+	if k, ok := s.checks[start]; ok {
+		return k.history.Ending(run)
+	}
+	return runend.Unseen
+}
+
+// runningFor returns the id of the upstream whose run a peer must see end before it makes the next attempt of the call, empty if there is none.
+func (s *State) runningFor(p *pendingCall) string {
+	if s.endingOf(p) == runend.Unseen {
+		return p.previous.upstreamID
+	}
+	return ""
+}
+
 // reportMove reports that a stream goes on elsewhere after an attempt that ended with the outcome and may have run.
 func (s *State) reportMove(c *Call, p *pendingCall, o Outcome) []Effect {
-	if !p.route.streaming || o.answered || o.kind.Reply().Run() == rail.NotRun {
+	x := p.previous
+	if x == nil || o.kind.Reply().Run() == rail.NotRun {
 		return nil
 	}
-	moved := StreamMoved{cause: p.moveCause(o), ending: endingUnseen}
-	return []Effect{moved, report(rail.EventStreamMoved, NewField("request", c.id), NewField("cause", string(moved.cause)), NewField("ending", string(moved.ending)),
-		NewField("upstream", p.target.id), NewField("peer", p.peer), NewField("placement", o.placement), NewField("sinceEventMs", s.now.Sub(p.lastEventAt).Milliseconds()), NewField("leaving", p.target.leaving))}
+	ending := s.endingOf(p)
+	if ending == runend.Unseen {
+		ending = endingAtPeer
+	}
+	return []Effect{
+		StreamMoved{cause: x.cause, ending: ending},
+		report(rail.EventStreamMoved, NewField("request", c.id), NewField("cause", string(x.cause)), NewField("ending", string(ending)), NewField("upstream", x.upstreamID),
+			NewField("peer", p.peer), NewField("sinceEventMs", s.now.Sub(x.eventAt).Milliseconds())),
+	}
+}
+
+// holdMove makes a call wait until its previous run has ended.
+func (s *State) holdMove(c *Call, p *pendingCall, o Outcome) []Effect {
+	if !p.previous.known {
+		return nil
+	}
+	s.moves[c] = &move{outcome: o, since: s.now}
+	return append(s.checkEngine(p.previous.upstream, moveCheckInterval), Hold{call: c})
+}
+
+// holdForwarded places a forwarded call once its run at the upstream has ended.
+func (s *State) holdForwarded(c *Call, p *pendingCall, upstreamID string) []Effect {
+	upstream, known := s.upstreamEntry(upstreamID)
+	if !known {
+		return s.refuse(c, p, rail.KindNotReady, notReadyRetryAfter)
+	}
+	p.previous = &previousRun{upstreamID: upstreamID, upstream: upstream, known: true, byPeer: true, run: runend.NewRun(c.id, s.now).Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
+	s.calls[c] = p
+	s.moves[c] = &move{since: s.now, forwarded: true}
+	return append(s.checkEngine(upstream, moveCheckInterval), Hold{call: c})
+}
+
+// tickMoves continues the calls whose previous runs have ended, ends those that have waited for too long, and checks the engines of the
+// others.
+func (s *State) tickMoves() []Effect {
+	effects := s.continueMoves()
+	for c := range s.moves {
+		effects = append(effects, s.checkEngine(s.calls[c].previous.upstream, moveCheckInterval)...)
+	}
+	s.forgetChecks()
+	return effects
+}
+
+// continueMoves continues the calls whose previous runs have ended and ends those that have waited for too long.
+func (s *State) continueMoves() []Effect {
+	var effects []Effect
+	for c, m := range s.moves {
+		p := s.calls[c]
+		ended := s.endingOf(p) != runend.Unseen
+		if !ended && s.now.Before(p.previous.eventAt.Add(p.route.stallTimeout())) && s.now.Add(deadlineMargin).Before(p.deadline) {
+			continue
+		}
+		delete(s.moves, c)
+		switch {
+		case m.forwarded:
+			delete(s.calls, c)
+			effects = append(effects, s.placeForwarded(c, p, ended)...)
+		case ended:
+			effects = append(effects, s.continueCall(c, p, m.outcome)...)
+		default:
+			effects = append(effects, s.endMove(c, p, m)...)
+		}
+	}
+	return effects
+}
+
+// placeForwarded places a forwarded call that waited for its previous run, or refuses it.
+func (s *State) placeForwarded(c *Call, p *pendingCall, ended bool) []Effect {
+	if !ended {
+		return s.refuse(c, p, rail.KindNotReady, notReadyRetryAfter)
+	}
+	return s.place(c, p)
+}
+
+// endMove ends a call whose previous run was not seen to end.
+func (s *State) endMove(c *Call, p *pendingCall, m *move) []Effect {
+	return append([]Effect{report(rail.EventMoveGivenUp, NewField("request", c.id), NewField("cause", string(p.previous.cause)), NewField("upstream", p.previous.upstreamID),
+		NewField("waitedMs", s.now.Sub(m.since).Milliseconds()))}, s.endCall(c, p, m.outcome)...)
+}
+
+// refuseForwardedMoves refuses the forwarded calls that wait for the ends of their previous runs, so that other peers can take them.
+func (s *State) refuseForwardedMoves() []Effect {
+	var effects []Effect
+	for c, m := range s.moves {
+		if m.forwarded {
+			p := s.calls[c]
+			delete(s.moves, c)
+			delete(s.calls, c)
+			effects = append(effects, s.refuse(c, p, rail.KindLeaving, 0)...)
+		}
+	}
+	return effects
+}
+
+// endMoves ends all calls that wait for the ends of their previous runs.
+func (s *State) endMoves() []Effect {
+	effects := s.refuseForwardedMoves()
+	for c, m := range s.moves {
+		p := s.calls[c]
+		delete(s.moves, c)
+		effects = append(effects, s.endMove(c, p, m)...)
+	}
+	return effects
 }
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -24,9 +24,16 @@
 	if !known || gap <= maxTickGap {
 		return nil
 	}
-	for _, p := range s.calls {
-		if p.lastEventAt = p.lastEventAt.Add(gap - TickInterval); p.lastEventAt.After(s.now) {
-			p.lastEventAt = s.now
+	excused := func(at time.Time) time.Time {
+		if at = at.Add(gap - TickInterval); at.After(s.now) {
+			return s.now
+		}
+		return at
+	}
+	for c, p := range s.calls {
+		p.lastEventAt = excused(p.lastEventAt)
+		if _, waits := s.moves[c]; waits {
+			p.previous.eventAt = excused(p.previous.eventAt)
 		}
 	}
 	return s.reportDelay(gap)
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -45,7 +45,7 @@
 			h.list(UpstreamSet(testEngine("b", "north"))) // To which streams may move.
 			is.Equal(len(aborts(h.tick(2*TickInterval))), 0)
 			is.Equal(len(aborts(h.advance(test.paused).post(Ticked{}))), 0)
-			is.Equal(len(abortedCalls(h.tick(test.silent))), test.aborts)
+			is.Equal(len(abortedCalls(h.idle(test.silent))), test.aborts)
 		})
 	}
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/runend"
 )
 
 func prompt(ids ...string) []PromptPart {
@@ -238,7 +239,9 @@
 	h.state.quarantine = newQuarantine()
 	first, second := h.promptCall("/drafts/1", "p"), h.promptCall("/drafts/2", "p")
 	h.arrive(second)
-	_, retried := h.breakOff(first).(Send)
+	h.breakOff(first)
+	engine := h.state.calls[first].target.id
+	_, retried := callEffect(h.unanswered(engine, runend.Refused)).(Send)
 	is.True(retried)
 	h.state.calls[first].target.startedAtMs = 2
 	h.advance(time.Second).end(first, Outcome{kind: rail.KindUpstreamFailed, err: io.ErrUnexpectedEOF})
--- a/gateway/rates_test.go
+++ b/gateway/rates_test.go
@@ -16,6 +16,7 @@
 
 	"dandelionrail.org/rail/estimate"
 	"dandelionrail.org/rail/gen/railv1"
+	"dandelionrail.org/rail/runend"
 	"dandelionrail.org/rail/simtime"
 )
 
@@ -161,6 +162,8 @@
 
 func (*pacedSender) Probe(Probe, func(bool)) {}
 
+func (*pacedSender) Check(CheckEngine, func(runend.Check)) {}
+
 // Guards against streams whose reports of progress lack the events or the time, so that the speed of their engine stays unknown.
 func TestStreamShowsTheSpeedOfItsEngine(t *testing.T) {
 	simtime.Run(t, func(t *testing.T) {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/runend"
 )
 
 // refusingSender reports each attempt as not run, and counts the attempts that were aborted.
@@ -31,6 +32,8 @@
 
 func (*refusingSender) Probe(Probe, func(bool)) {}
 
+func (*refusingSender) Check(CheckEngine, func(runend.Check)) {}
+
 type discardLog struct{}
 
 func (discardLog) Write(rail.EventNumber, ...Field) {}
@@ -82,6 +85,8 @@
 
 func (*answeringSender) Probe(Probe, func(bool)) {}
 
+func (*answeringSender) Check(CheckEngine, func(runend.Check)) {}
+
 // Guards against an order that its caller sends again, since an upstream failed with a status that promises that it was not run (REFUSED).
 func TestFailureOfAnOrderIsNoPromise(t *testing.T) {
 	for _, c := range []struct {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -10,14 +10,17 @@
 
 // State is the reducer of a gateway; it is not safe for concurrent use.
 type State struct {
-	settings      Settings
-	now           time.Time
-	config        *Config
-	registry      *registry
-	clock         *clock
-	quotas        map[string]*quota
-	retryBudgets  map[string]*retryBudget
-	calls         map[*Call]*pendingCall
+	settings     Settings
+	now          time.Time
+	config       *Config
+	registry     *registry
+	clock        *clock
+	quotas       map[string]*quota
+	retryBudgets map[string]*retryBudget
+	calls        map[*Call]*pendingCall
+	// moves are the calls in progress that wait until their last runs have ended, checks what is known of the engines of these.
+	moves         map[*Call]*move
+	checks        map[upstreamStart]*engineCheck
 	queued        *callQueues
 	peers         map[string]*peer
 	registrations registrations
@@ -74,7 +77,7 @@
 func NewState(s Settings) *State {
 	return &State{
 		settings: s, now: s.startedAt, registry: newRegistry(), clock: newClock(s.startedAt), quotas: map[string]*quota{},
-		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, queued: newCallQueues(queueLimits(s.messageMemory)), peers: map[string]*peer{}, registrations: newRegistrations(),
+		retryBudgets: map[string]*retryBudget{}, calls: map[*Call]*pendingCall{}, moves: map[*Call]*move{}, checks: map[upstreamStart]*engineCheck{}, queued: newCallQueues(queueLimits(s.messageMemory)), peers: map[string]*peer{}, registrations: newRegistrations(),
 		domainDigestAt: map[string]time.Time{}, callerShare: 1, usage: usage{}, versions: map[versionKey]tally{}, speeds: map[speedKey]speed{}, serviceRates: map[string]*serviceRate{}, rollouts: map[string]*rollout{}, rolloutStatuses: map[string]RolloutStatus{}, superseded: map[versionKey]bool{}, verdicts: verdicts{}, reachability: map[string]*reachability{}, quarantine: newQuarantine(), evacuations: evacuation.New(), ends: map[upstreamStart]time.Time{}, partitions: map[string]*partition{}, partitionedPeers: map[string]map[string]bool{}, hops: map[string]*hop{}, spillovers: map[string]*spilloverState{}, partUses: partUses{}, domainGateways: 1, arrivals: newArrivals(s.startedAt), workMeter: newWorkMeter(s.startedAt),
 	}
 }
@@ -104,6 +107,8 @@
 		return s.failOver(e.call)
 	case ProbeEnded:
 		return s.probeEnded(e)
+	case EngineChecked:
+		return s.engineChecked(e)
 	case CallerDisconnected:
 		return s.callerDisconnected(e.call)
 	case Ticked:
@@ -139,7 +144,7 @@
 		s.fence = e.fence
 	case ShutdownStarted:
 		s.leaving = true
-		return s.refuseAllQueued(leftShutdown, rail.KindLeaving)
+		return append(s.refuseAllQueued(leftShutdown, rail.KindLeaving), s.refuseForwardedMoves()...)
 	case ShutdownEnding:
 		return s.abortAll()
 	}
@@ -217,6 +222,7 @@
 	s.forgetEnds()
 	effects = append(effects, s.tickPartitions()...)
 	effects = append(effects, s.quarantine.tick(s.trueTime())...)
+	effects = append(effects, s.tickMoves()...)
 	return append(effects, s.abortSilent()...)
 }
 
--- a/number.go
+++ b/number.go
@@ -120,6 +120,7 @@
 	EventSpilloverBegan       EventNumber = 1280
 	EventSpilloverEnded       EventNumber = 1281
 	EventRatesEstimated       EventNumber = 1290
+	EventMoveGivenUp          EventNumber = 1300
 )
 
 // eventTitles maps each event to its title in docs/events.md.
@@ -227,6 +228,7 @@
 	EventSpilloverBegan:       "requests of a service begin to leave the failure domain",
 	EventSpilloverEnded:       "requests of a service stay in the failure domain again",
 	EventRatesEstimated:       "estimated rates of the typical upstream of a service changed",
+	EventMoveGivenUp:          "stream does not go on at another upstream: its run at the one before was not seen to end",
 }
 
 // Title returns the event's title, empty for a number that is not listed.
--- /dev/null
+++ b/runend/history.go
@@ -0,0 +1,97 @@
+package runend
+
+import "time"
+
+// Ending is how a run was seen to end.
+type Ending string
+
+const (
+	// Unseen is a run that may be in progress.
+	Unseen Ending = "unseen"
+	// Unlisted is a run that a report of its engine does not list.
+	Unlisted Ending = "unlisted"
+	// Gone is a run whose connection ended and whose engine accepts no connections.
+	Gone Ending = "gone"
+	// Unreachable is a run at an engine to which no connection can be established.
+	Unreachable Ending = "unreachable"
+	// Closed is a run whose connection was ended by an engine that is reached and does not list its runs.
+	Closed Ending = "closed"
+)
+
+const (
+	// reportAge is how old the content of a report may be.
+	reportAge = 500 * time.Millisecond
+	// minTimeouts is the number of consecutive timeouts from which an engine counts as unreachable: one may be a lost packet.
+	minTimeouts = 2
+)
+
+// History is what the checks of one engine have shown.
+type History struct {
+	last Check // The last one that brought a report.
+	// lists reports whether the engine has ever listed its runs.
+	lists bool
+	// refusedAt is when the last check began that was refused, timedOutAt those of the last checks, as far as all of them timed out.
+	refusedAt  time.Time
+	timedOutAt []time.Time
+}
+
+// Record records a check.
+func (h *History) Record(c Check) {
+	if c.answer == TimedOut {
+		h.timedOutAt = append(h.timedOutAt, c.startedAt)
+		h.timedOutAt = h.timedOutAt[max(0, len(h.timedOutAt)-minTimeouts):]
+		return
+	}
+	h.timedOutAt = nil
+	switch c.answer {
+	case Refused:
+		h.refusedAt = c.startedAt
+	case Reported:
+		h.last = c
+		h.lists = h.lists || c.report.lists()
+	}
+}
+
+// Ending returns how the run was seen to end, Unseen if it was not. Only what was asked for after the end of the attempt counts.
+func (h *History) Ending(r Run) Ending {
+	switch {
+	case h.unlisted(r):
+		return Unlisted
+	case r.closed && !h.refusedAt.Before(r.abandonedAt):
+		return Gone
+	case h.unreachable(r):
+		return Unreachable
+	case r.closed && !r.timedOut && !h.lists && h.last.answer == Reported && !h.last.startedAt.Before(r.abandonedAt):
+		return Closed
+	}
+	return Unseen
+}
+
+// unlisted reports whether a report shows that the run is not in progress and does not wait.
+func (h *History) unlisted(r Run) bool {
+	report := h.last.report
+	if !report.complete() || report.runs[r.id] || h.last.startedAt.Before(r.abandonedAt) {
+		return false
+	}
+	if report.waiting > 0 {
+		return false // It may be among those that wait: not begun yet, or preempted.
+	}
+	since, known := r.listedSince()
+	return known && h.last.startedAt.Sub(since) >= reportAge
+}
+
+// unreachable reports whether the engine cannot be reached. While the connection of the run is open, or was aborted, new connections may
+// also time out because the engine accepts none and its queue is full.
+func (h *History) unreachable(r Run) bool {
+	timeouts := minTimeouts
+	if r.timedOut {
+		timeouts-- // The connection of the run was the first.
+	}
+	n := len(h.timedOutAt)
+	return r.closed && n >= timeouts && !h.timedOutAt[n-timeouts].Before(r.abandonedAt)
+}
+
+// Observable reports whether the end of a run that is aborted now is likely to be seen: the engine has listed its runs since the time.
+func (h *History) Observable(since time.Time) bool {
+	return h.last.report.lists() && !h.last.startedAt.Before(since)
+}
--- /dev/null
+++ b/runend/history_test.go
@@ -0,0 +1,62 @@
+package runend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a run that counts as ended while it may be in progress.
+func TestEndingOfARun(t *testing.T) {
+	start := time.Date(2026, time.December, 6, 12, 0, 0, 0, time.UTC)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	sent := NewRun("r-1", at(0))
+	streaming := sent.WithEvent(at(100))
+	without := Report{}
+	for _, c := range []struct {
+		name   string
+		run    Run
+		checks []Check
+		want   Ending
+	}{
+		{"nothing known", streaming.BrokenOff(at(2000)), nil, Unseen},
+		{"listed", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0", "r-1"}, 0))}, Unseen},
+		{"not listed", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0"}, 0))}, Unlisted},
+		{"not listed, others wait", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0"}, 1))}, Unseen},
+		{"not listed, report older than the first event", streaming.BrokenOff(at(200)), []Check{NewReport(at(210), NewRuns(nil, 0))}, Unseen},
+		{"not listed, the request may have waited", sent.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns(nil, 0))}, Unseen},
+		{"not listed, the request would have begun", sent.BrokenOff(at(2000)), []Check{NewReport(at(2510), NewRuns(nil, 0))}, Unlisted},
+		{"not listed, others are not either", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0"}, 0).Partial())}, Unseen},
+		{"in progress, not listed", streaming, []Check{NewReport(at(2010), NewRuns(nil, 0))}, Unlisted},
+		{"in progress, not listed, others wait", streaming, []Check{NewReport(at(2010), NewRuns(nil, 1))}, Unseen},
+		{"in progress without an event, not listed", sent, []Check{NewReport(at(2010), NewRuns(nil, 0))}, Unseen},
+		{"refused", streaming.BrokenOff(at(2000)), []Check{NewCheck(at(2010), Refused)}, Gone},
+		{"refused before the request was sent", sent.BrokenOff(at(20)), []Check{NewCheck(at(-10), Refused)}, Unseen},
+		{"refused, connection aborted", streaming.Aborted(at(2000)), []Check{NewCheck(at(2010), Refused)}, Unseen},
+		{"refused, connection timed out", streaming.TimedOut(at(2000)), []Check{NewCheck(at(2010), Refused)}, Gone},
+		{"one timeout", streaming.BrokenOff(at(2000)), []Check{NewCheck(at(2010), TimedOut)}, Unseen},
+		{"two timeouts", streaming.BrokenOff(at(2000)), []Check{NewCheck(at(2010), TimedOut), NewCheck(at(2310), TimedOut)}, Unreachable},
+		{"one timeout, connection timed out", streaming.TimedOut(at(2000)), []Check{NewCheck(at(2010), TimedOut)}, Unreachable},
+		{"timeouts, connection open", streaming, []Check{NewCheck(at(2010), TimedOut), NewCheck(at(2310), TimedOut), NewCheck(at(2610), TimedOut)}, Unseen},
+		{"no answer", streaming.BrokenOff(at(2000)), []Check{NewCheck(at(2010), NoAnswer), NewCheck(at(4010), NoAnswer)}, Unseen},
+		{"report without runs", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), without)}, Closed},
+		{"report without runs before the end of the connection", streaming.BrokenOff(at(2000)), []Check{NewReport(at(1990), without)}, Unseen},
+		{"report without runs, connection aborted", streaming.Aborted(at(2000)), []Check{NewReport(at(2010), without)}, Unseen},
+		{"refused while the stream went on", streaming.BrokenOff(at(9000)), []Check{NewCheck(at(2000), Refused)}, Unseen},
+		{"refused once, listed since", streaming.BrokenOff(at(9000)), []Check{NewCheck(at(2000), Refused), NewReport(at(8000), NewRuns([]string{"r-1"}, 0))}, Unseen},
+		{"timeouts while the stream went on", streaming.BrokenOff(at(9000)), []Check{NewCheck(at(2000), TimedOut), NewCheck(at(2400), TimedOut)}, Unseen},
+		{"preempted at the time of the report, has gone on since", streaming.BrokenOff(at(9000)), []Check{NewReport(at(2000), NewRuns([]string{"r-0"}, 1))}, Unseen},
+		{"listed, then an answer that is no report", streaming.BrokenOff(at(9000)), []Check{NewReport(at(9010), NewRuns([]string{"r-1"}, 0)), NewReport(at(9200), Report{})}, Unseen},
+		{"the request may still wait", sent.BrokenOff(at(9000)), []Check{NewReport(at(9600), NewRuns([]string{"r-0"}, 1))}, Unseen},
+		{"report without runs, connection timed out", streaming.TimedOut(at(2000)), []Check{NewReport(at(2010), without)}, Unseen},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var h History
+			for _, check := range c.checks {
+				h.Record(check)
+			}
+			is.New(t).Equal(h.Ending(c.run), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/runend/run.go
@@ -0,0 +1,54 @@
+package runend
+
+import "time"
+
+// Run is a stream at an engine, as the attempt shows it.
+type Run struct {
+	id string
+	// sentAt is when the attempt began, eventAt when its first event arrived, zero if none has.
+	sentAt, eventAt time.Time
+	// abandonedAt is when the attempt ended without the end of the stream, zero while it is in progress.
+	abandonedAt time.Time
+	// closed reports whether the connection ended by itself, timedOut whether it did for want of acknowledgements. Both are false if the
+	// attempt was aborted.
+	closed, timedOut bool
+}
+
+// NewRun returns the run of a request whose attempt began at the time.
+func NewRun(id string, sentAt time.Time) Run { return Run{id: id, sentAt: sentAt} }
+
+// WithEvent returns the run with the time of its first event.
+func (r Run) WithEvent(at time.Time) Run {
+	r.eventAt = at
+	return r
+}
+
+// Aborted returns the run of an attempt that was aborted at the time.
+func (r Run) Aborted(at time.Time) Run {
+	r.abandonedAt = at
+	return r
+}
+
+// BrokenOff returns the run of an attempt whose connection ended at the time.
+func (r Run) BrokenOff(at time.Time) Run {
+	r.abandonedAt, r.closed = at, true
+	return r
+}
+
+// TimedOut returns the run of an attempt whose connection ended at the time, since the other side acknowledged nothing.
+func (r Run) TimedOut(at time.Time) Run {
+	r.abandonedAt, r.closed, r.timedOut = at, true, true
+	return r
+}
+
+// ID returns the id of the request.
+func (r Run) ID() string { return r.id }
+
+// listedSince returns the time from which a run that is in progress must be listed, false if there is none. A request without an event may
+// have waited until its attempt ended, and may not have begun to run.
+func (r Run) listedSince() (time.Time, bool) {
+	if !r.eventAt.IsZero() {
+		return r.eventAt, true
+	}
+	return r.abandonedAt, !r.abandonedAt.IsZero()
+}
