Soak: upstreams record the ends of runs and list their runs in reports

Cause: the soak recorded the start of each run only, so that the second half of the users' rule TWICE (a stream goes on at another engine while the one before still works on it 400 ms later) was not checked in any scenario. Its upstreams answered GET /-/report with an empty body.

Change: a run has an end, the gateway that sent it and a count of events. A stream that runs at two upstreams for more than 400 ms breaks TWICE, unless the gateway that sent it was started, stopped, paused, or its link to the store or to one of the two upstreams was disturbed in the 3 s before.

--- a/soak/promise_test.go
+++ b/soak/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -15,6 +16,7 @@
 	for _, q := range d.requests {
 		d.checkRequest(q)
 	}
+	d.checkOverlaps()
 	d.checkQuota()
 	d.checkRetries()
 	d.checkRecovery()
@@ -47,12 +49,39 @@
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
 		d.recorder.recordViolation("DENIED: %s was answered with %d at %s", q.path, q.status, q.gateway)
 	case http.StatusOK:
-		if !slices.ContainsFunc(runs, func(r run) bool { return r.stamp == q.stamp }) {
+		if !slices.ContainsFunc(runs, func(r *run) bool { return r.stamp == q.stamp }) {
 			d.recorder.recordViolation("MIXED: %s has the stamp %q, which belongs to none of its runs", q.path, q.stamp)
 		}
 	}
 }
 
+// checkOverlaps checks that no stream went on at another upstream while the one before still worked on it maxOverlap later.
+func (d *deployment) checkOverlaps() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, o := range d.overlaps {
+		if text := d.describeOverlap(o); o.excused {
+			d.t.Log("not counted, since the gateway was out of touch: " + text)
+		} else {
+			d.recorder.recordViolation("TWICE: %s", text)
+		}
+	}
+	d.t.Logf("%d streams went on at another upstream, %d of them while one before went on for more than %v", d.moves, len(d.overlaps), maxOverlap)
+}
+
+// describeOverlap describes the two runs of an overlap.
+func (d *deployment) describeOverlap(o overlap) string {
+	d.recorder.mu.Lock()
+	defer d.recorder.mu.Unlock()
+	lasted := "to the end"
+	if !o.before.endedAt.IsZero() {
+		lasted = "for " + o.before.endedAt.Sub(o.after.at).String()
+	}
+	q := d.recorder.sent[o.after.id]
+	return fmt.Sprintf("%s, sent to %s: %s started it at %s, and %v later %s at %s, while the first run went on %s",
+		q.path, q.gateway, o.before.gateway, o.before.upstream.id, o.after.at.Sub(o.before.at), o.after.gateway, o.after.upstream.id, lasted)
+}
+
 // checkQuota checks the tokens that the team with a limit used in each window, over all upstreams. A request counts if it was
 // both sent and run in the window.
 func (d *deployment) checkQuota() {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -35,7 +35,7 @@
 	lastDisturbed time.Time // When the mode last changed to or from one that disturbs the link.
 	changed       chan struct{}
 	conns         map[net.Conn]bool
-	// owner returns the name of the gateway that opened a connection; it is nil if no gateway is partitioned by itself.
+	// owner returns the name of the gateway that opened a connection; it is nil if that is not needed.
 	owner func(net.Conn) string
 	// cuts holds the mode for the connections of single gateways, ownerOf the gateway of each connection of both sides.
 	cuts    map[string]mode
@@ -154,6 +154,18 @@
 	}
 }
 
+// ownerOfTarget returns the name of the gateway whose connection reaches the target from the address.
+func (p *proxy) ownerOfTarget(address string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, gateway := range p.ownerOf {
+		if c.LocalAddr().String() == address {
+			return gateway
+		}
+	}
+	return ""
+}
+
 // undisturbedFor reports whether the link has forwarded all data without delay for longer than the duration.
 func (p *proxy) undisturbedFor(d time.Duration) bool {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -192,6 +192,8 @@
 	overload    bool
 	partitions  []partitionRecord
 	evacuation  evacuation
+	overlaps    []overlap
+	moves       int // Runs of streams that follow one at another upstream.
 	// storeDisturbedUntil is when the last disturbance of the store began or ended.
 	storeDisturbedUntil time.Time
 	log                 []string
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -21,20 +21,11 @@
 	"dandelionrail.org/rail/standin/store"
 )
 
-// run is one run of a request at an upstream.
-type run struct {
-	at     time.Time
-	tokens int64
-	team   string
-	stamp  string
-	from   int
-}
-
 // recorder records what callers sent and what the upstreams received, and the violations of promises.
 type recorder struct {
 	mu         sync.Mutex
 	sent       map[string]*request // By request id, as callers sent them.
-	runs       map[string][]run
+	runs       map[string][]*run
 	arrivals   map[string][]time.Time
 	violations []string
 	lastPause  time.Time // When a gateway was last paused or resumed.
@@ -49,7 +40,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{sent: map[string]*request{}, runs: map[string][]run{}, arrivals: map[string][]time.Time{}, deadlines: deadlines{first: map[string]givenDeadline{}}}
+	return &recorder{sent: map[string]*request{}, runs: map[string][]*run{}, arrivals: map[string][]time.Time{}, deadlines: deadlines{first: map[string]givenDeadline{}}}
 }
 
 func (r *recorder) recordViolation(format string, args ...any) {
@@ -77,6 +68,7 @@
 	// request a second, zero for none.
 	starts, limit atomic.Int32
 	arrivals      []limitedArrival // Guarded by the recorder's mutex.
+	recent        []*run           // Those in progress and those that ended lately; guarded by the recorder's mutex.
 
 	registering sync.Mutex
 	// refusals holds the last refusal that named a time, by gateway; it is guarded by the recorder's mutex.
@@ -141,7 +133,11 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(r.Body)
-	if err != nil || r.URL.Path == "/health" || r.URL.Path == "/-/report" {
+	if r.URL.Path == "/-/report" {
+		u.serveReport(w)
+		return
+	}
+	if err != nil || r.URL.Path == "/health" {
 		return
 	}
 	w.Header().Set("X-Request-Id", id)
@@ -176,10 +172,10 @@
 	}
 	defer u.running.Add(-1)
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // Without the header, the answer starts at the first event.
-	u.recorder.mu.Lock()
-	stamp := fmt.Sprintf("%s.%s.%d", u.id, id, len(u.recorder.runs[id]))
-	u.recorder.runs[id] = append(u.recorder.runs[id], run{at: time.Now(), tokens: sent.tokens, team: sent.team, stamp: stamp, from: from})
-	u.recorder.mu.Unlock()
+	started, before := u.beginRun(sent, r, from)
+	defer u.endRun(started)
+	u.deployment.noteOverlaps(sent, before, started)
+	stamp := started.stamp
 	w.Header().Set("X-Response-Stamp", stamp)
 	time.Sleep(time.Duration(5+rand.IntN(25)) * time.Millisecond)
 	if sent.path == crashingPath {
@@ -214,6 +210,7 @@
 			return
 		}
 		w.(http.Flusher).Flush()
+		u.countEvent(started)
 		time.Sleep(time.Duration(rand.IntN(40)) * time.Millisecond)
 		if rand.IntN(1000) < int(u.failPercent.Load()) {
 			panic(http.ErrAbortHandler)
