Soak: engines that fall silent while their runs go on

Cause: no engine of the soak fell silent or paused while it worked, preempted streams, or saw the end of a connection late, so that a stream never moved before its run had ended.

Change: the scenario silent (TestStreamsRunAtOneUpstreamAtATime) adds these faults to those of mixed; the lists of the other scenarios are unchanged. Upstreams stop a stream at the deadline that they were given and when they see the end of its connection.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -154,6 +154,8 @@
 			all = slices.DeleteFunc(all, func(f fault) bool { return !f.planned || f.name == "SIGTERM and start" })
 		}
 		all = append(all, partitionedFaults...)
+	case silent:
+		all = append(append([]fault(nil), faults...), slices.Repeat(silentFaults, 4)...)
 	case poisoned:
 		all = append(append([]fault(nil), faults...), poisonedFaults...)
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -41,6 +42,8 @@
 	cuts    map[string]mode
 	ownerOf map[net.Conn]string
 	lastCut time.Time // When a cut last began or ended.
+	// closeDelay is the longest time after which the target sees that a connection was closed.
+	closeDelay time.Duration
 }
 
 func newProxy(g *group.Group, target string) (*proxy, error) {
@@ -166,6 +169,19 @@
 	return ""
 }
 
+// delayCloses sets the longest time after which the target sees that a connection was closed.
+func (p *proxy) delayCloses(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeDelay = d
+}
+
+func (p *proxy) currentCloseDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closeDelay
+}
+
 // undisturbedFor reports whether the link has forwarded all data without delay for longer than the duration.
 func (p *proxy) undisturbedFor(d time.Duration) bool {
 	p.mu.Lock()
@@ -247,11 +263,20 @@
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
+				if p.currentCloseDelay() > 0 && stalledMode == stalledDown {
+					_, _ = io.Copy(io.Discard, from) // Until the target sees the end of the connection.
+				}
 				reset(from)
 				return
 			}
 		}
 		if err != nil {
+			if delay := p.currentCloseDelay(); delay > 0 && stalledMode == stalledUp {
+				select {
+				case <-time.After(rand.N(delay)):
+				case <-ctx.Done():
+				}
+			}
 			if m, _ := p.current(gateway); m == refusing {
 				reset(to)
 			}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -28,13 +28,20 @@
 	from     int
 	priority int
 	events   int
+	// preemptedAt and preemptedUntil bound the last time in which it waited for others.
+	preemptedAt, preemptedUntil time.Time
 }
 
-// activeAt reports whether the upstream worked on the run at the time.
+// activeAt reports whether the upstream worked on the run at the time, or had preempted it.
 func (x *run) activeAt(t time.Time) bool {
 	return !x.at.After(t) && (x.endedAt.IsZero() || x.endedAt.After(t))
 }
 
+// preemptedBy reports whether the run waited for others at the time.
+func (x *run) preemptedBy(t time.Time) bool {
+	return !x.preemptedAt.After(t) && x.preemptedUntil.After(t)
+}
+
 // beginRun records the start of a run and returns it, with the earlier runs of the request at other upstreams.
 func (u *upstream) beginRun(q *request, r *http.Request, from int) (*run, []*run) {
 	gateway := u.proxy.ownerOfTarget(r.RemoteAddr)
@@ -74,13 +81,18 @@
 // serveReport answers with what the upstream did a while ago.
 func (u *upstream) serveReport(w http.ResponseWriter) {
 	u.recorder.mu.Lock()
-	at, runs := time.Now().Add(-reportAge), [][]any{}
+	at, queued, runs := time.Now().Add(-reportAge), 0, [][]any{}
 	for _, x := range u.recent {
-		if x.activeAt(at) {
-			runs = append(runs, []any{x.id, x.tokens, x.events, x.priority})
+		if !x.activeAt(at) {
+			continue
+		}
+		if x.preemptedBy(at) {
+			queued++
+			continue
 		}
+		runs = append(runs, []any{x.id, x.tokens, x.events, x.priority})
 	}
 	u.recorder.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "both", "Queued": 0, "Running": len(runs), "Runs": runs}) // The gateway may have disconnected.
+	_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "both", "Queued": queued, "Running": len(runs), "Runs": runs}) // The gateway may have disconnected.
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -130,6 +130,12 @@
 	}
 }
 
+func TestStreamsRunAtOneUpstreamAtATime(t *testing.T) {
+	for i := range *seedCount {
+		runScenario(t, *firstSeed+uint64(i), silent, *length)
+	}
+}
+
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, f := range fixedFailures {
 		runScenario(t, f.seed, f.scenario, failedLength)
@@ -156,12 +162,14 @@
 	partitioned scenario = "partitioned"
 	// As planned, with a domain that is evacuated for a time, and new upstreams that are cold at first.
 	evacuated scenario = "evacuated"
-	planned   scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
+	// As mixed, with engines that fall silent or pause while streams run, preempt streams, or see the ends of connections late.
+	silent  scenario = "silent"
+	planned scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
 )
 
 // test returns the name of the test whose seeds the flags choose.
 func (s scenario) test() string {
-	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", evacuated: "TestPromisesHoldUnderEvacuation", planned: "TestPlannedWorkCutsNothing"}[s]
+	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", silent: "TestStreamsRunAtOneUpstreamAtATime", evacuated: "TestPromisesHoldUnderEvacuation", planned: "TestPlannedWorkCutsNothing"}[s]
 }
 
 // deployment is the system under test, with its store, upstreams and callers.
@@ -295,8 +303,12 @@
 	d.version++
 	version := d.version
 	type object map[string]any
+	timeout := 3 * time.Second
+	if d.scenario == silent {
+		timeout = streamTimeout
+	}
 	route := func(path, kind, service string, attempts int, resume bool) object {
-		return object{"Name": "r" + strings.ReplaceAll(path, "/", "-"), "Host": "shop.example", "PathPrefix": path, "Kind": kind, "TimeoutMs": 3000 + version, "GoalMs": 500, "Service": service, "Attempts": attempts, "Sticky": service == "models", "CanResume": resume}
+		return object{"Name": "r" + strings.ReplaceAll(path, "/", "-"), "Host": "shop.example", "PathPrefix": path, "Kind": kind, "TimeoutMs": int(timeout.Milliseconds()) + version, "GoalMs": 500, "Service": service, "Attempts": attempts, "Sticky": service == "models", "CanResume": resume}
 	}
 	routes := []object{route("/draft/", "streaming", "models", 2, true), route("/chat/", "streaming", "models", 1, false), route("/order/", "non_idempotent", "desk", 2, false), route("/lookup/", "idempotent", "desk", 2, false)}
 	if d.scenario == restored {
@@ -326,7 +338,7 @@
 		return nil, err
 	}
 	u.deployment = d
-	if d.scenario == partitioned {
+	if d.scenario == partitioned || d.scenario == silent {
 		u.proxy.identifyBy(d.connectionOwner)
 	}
 	if d.scenario == poisoned {
@@ -362,6 +374,9 @@
 			if d.scenario == poisoned {
 				q.addPrompt(r)
 			}
+			if d.scenario == silent {
+				q.lengthen()
+			}
 			d.recorder.mu.Lock()
 			d.recorder.sent[q.id] = q
 			d.recorder.mu.Unlock()
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -69,6 +69,7 @@
 	starts, limit atomic.Int32
 	arrivals      []limitedArrival // Guarded by the recorder's mutex.
 	recent        []*run           // Those in progress and those that ended lately; guarded by the recorder's mutex.
+	silence       silence
 
 	registering sync.Mutex
 	// refusals holds the last refusal that named a time, by gateway; it is guarded by the recorder's mutex.
@@ -133,6 +134,8 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(r.Body)
+	late := u.silence.readsNothing()
+	awaitEnd(u.silence.readsNothing)
 	if r.URL.Path == "/-/report" {
 		u.serveReport(w)
 		return
@@ -140,6 +143,9 @@
 	if err != nil || r.URL.Path == "/health" {
 		return
 	}
+	if late && r.Context().Err() != nil {
+		panic(http.ErrAbortHandler) // It reads the end of the connection together with the request.
+	}
 	w.Header().Set("X-Request-Id", id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -205,17 +211,7 @@
 		u.writeUnframed(w, sent, stamp, from)
 		return
 	}
-	for n := from + 1; n <= sent.eventCount; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, answerData(r.URL.Path, n)); err != nil {
-			return
-		}
-		w.(http.Flusher).Flush()
-		u.countEvent(started)
-		time.Sleep(time.Duration(rand.IntN(40)) * time.Millisecond)
-		if rand.IntN(1000) < int(u.failPercent.Load()) {
-			panic(http.ErrAbortHandler)
-		}
-	}
+	u.writeEvents(w, r, sent, started)
 }
 
 // maxGarbageBytes bounds the bytes that are no answer on one connection.
