gateway: an order is not sent again to an upstream that was listed again

Cause: a call remembered the upstreams that it had been sent to by their entries in the registry. An entry that is removed and listed again is another one, so that the same start of the upstream got the order twice. A second copy of its first refusal, which may come late on a kept connection, has the order's id, and was taken for the answer while the order ran.

Change: a call remembers starts, by id and time of the start. A new start may get the call, as before.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -21,7 +21,7 @@
 	possibleRuns int
 	// refusals counts the attempts that did not run: the upstream refused them or was not reached.
 	refusals      int
-	tried         map[*target]bool
+	tried         map[upstreamStart]bool
 	usageCounted  bool // The call was counted in the team's usage.
 	gotFirstToken bool // The current attempt has produced its first token.
 	firstTokenAt  time.Time
@@ -85,7 +85,7 @@
 	if team != nil {
 		s.arrivals.add(team.name)
 	}
-	p := &pendingCall{route: route, team: team, tried: map[*target]bool{}, resume: c.resume}
+	p := &pendingCall{route: route, team: team, tried: map[upstreamStart]bool{}, resume: c.resume}
 	p.limitDeadline(c)
 	if wait, refused := s.quarantined(c, p.teamName()); refused {
 		return s.refuse(c, p, rail.KindQuarantined, wait)
@@ -231,7 +231,7 @@
 	p.attempts++
 	p.peer = ""
 	p.target, p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = t, false, false, false, s.now, s.now
-	p.tried[t] = true
+	p.tried[t.start()] = true
 	if t.limit.named {
 		t.limit.take()
 	}
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -28,7 +28,7 @@
 		return !s.evacuations.Contains(t.domain)
 	}},
 	{"allowed region", fallback, func(s *State, t *target, p *pendingCall, _ versionRule) bool { return s.inAllowedRegion(t.domain, p) }},
-	{"not tried by the request", fallback, func(_ *State, t *target, p *pendingCall, _ versionRule) bool { return !p.tried[t] }},
+	{"not tried by the request", fallback, func(_ *State, t *target, p *pendingCall, _ versionRule) bool { return !p.tried[t.start()] }},
 	{"request limit", fallback, func(s *State, t *target, _ *pendingCall, _ versionRule) bool { return s.limitAllows(t) }},
 	{"slow start", fallback, func(s *State, t *target, _ *pendingCall, _ versionRule) bool { return s.coldAllows(t) }},
 	{"time of a refusal", fallback, func(s *State, t *target, _ *pendingCall, _ versionRule) bool { return t.refusal.allows(s.now) }},
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -63,7 +63,7 @@
 // eligibleDomains returns the domains whose upstreams may get requests of the path's route in the tier preferred.
 func (h *harness) eligibleDomains(path string) []string {
 	c := NewCall("r", path, "key-1", NewMessage("POST", path, "shop.example", nil, nil), h.now, h.now.Add(time.Second))
-	p := &pendingCall{route: h.state.config.route("shop.example", path), team: h.state.config.team("key-1"), tried: map[*target]bool{}}
+	p := &pendingCall{route: h.state.config.route("shop.example", path), team: h.state.config.team("key-1"), tried: map[upstreamStart]bool{}}
 	p.service = h.state.pickService(c, p)
 	var domains []string
 	for _, t := range h.state.registry.ofService(p.service.name) {
@@ -156,7 +156,7 @@
 	h := regionHarness(t, nil, nil)
 	h.domainsUsed("/drafts/1", 24) // Fills the cache estimates of all engines.
 	h.evacuate("north")
-	p := &pendingCall{route: h.state.config.route("shop.example", "/drafts/1"), service: h.state.config.services["models"], tried: map[*target]bool{}}
+	p := &pendingCall{route: h.state.config.route("shop.example", "/drafts/1"), service: h.state.config.services["models"], tried: map[upstreamStart]bool{}}
 	parts := []PromptPart{NewPromptPart("shared", 400), NewPromptPart("own", 100)}
 	c := NewCall("r-x", "/drafts/1", "key-1", NewMessage("POST", "/drafts/1", "shop.example", nil, nil), h.now, h.now.Add(time.Second)).WithTokens(500, 20, parts)
 	chosen := h.state.registry.targets["engine-far"]
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -138,7 +138,7 @@
 	if team == nil && (q.team != "" || (len(s.config.teams) > 0 && !route.public)) {
 		return x.refuse(rail.KindUnknownTeam, 0)
 	}
-	p := &pendingCall{route: route, team: team, tried: map[*target]bool{}}
+	p := &pendingCall{route: route, team: team, tried: map[upstreamStart]bool{}}
 	p.limitDeadline(c)
 	x.Team, x.Priority = p.teamName(), p.priority()
 	if wait, refused := s.quarantined(c, p.teamName()); refused {
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -179,7 +179,7 @@
 	if o.placement != "" && o.kind != rail.KindUpstreamUnreachable {
 		p.triedIDs = append(p.triedIDs, o.placement)
 		if t, ok := s.registry.targets[o.placement]; ok {
-			p.tried[t] = true
+			p.tried[t.start()] = true
 		}
 	}
 	h := s.hops[p.peer]
@@ -217,7 +217,7 @@
 	if team == nil && (f.team != "" || (len(s.config.teams) > 0 && !route.public)) {
 		return s.refuse(c, nil, rail.KindUnknownTeam, 0)
 	}
-	p := &pendingCall{route: route, team: team, forwarded: true, attemptsLeft: f.attemptsLeft, triedIDs: f.tried, usageCounted: true, tried: map[*target]bool{}, resume: c.resume}
+	p := &pendingCall{route: route, team: team, forwarded: true, attemptsLeft: f.attemptsLeft, triedIDs: f.tried, usageCounted: true, tried: map[upstreamStart]bool{}, resume: c.resume}
 	p.limitDeadline(c)
 	if wait, refused := s.quarantined(c, p.teamName()); refused {
 		return s.refuse(c, p, rail.KindQuarantined, wait)
@@ -228,7 +228,7 @@
 	}
 	for _, id := range f.tried {
 		if t, ok := s.registry.targets[id]; ok {
-			p.tried[t] = true
+			p.tried[t.start()] = true
 		}
 	}
 	return s.place(c, p)
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -49,7 +49,7 @@
 	now := time.Unix(1_000_000, 0)
 	unmet := map[string]func(h *harness, t *target, p *pendingCall){
 		"not leaving":              func(_ *harness, t *target, _ *pendingCall) { t.leaving = true },
-		"not tried by the request": func(_ *harness, t *target, p *pendingCall) { p.tried[t] = true },
+		"not tried by the request": func(_ *harness, t *target, p *pendingCall) { p.tried[t.start()] = true },
 		"request limit": func(h *harness, t *target, _ *pendingCall) {
 			h.state.applyLimitNews(t, limitNews{RequestLimit: RequestLimit{perSecond: 0.5, named: true}, startedAtMs: 1, at: h.now}, "upstream")
 		},
@@ -83,7 +83,7 @@
 			h := newServingHarness(testUpstream("a"))
 			h.now = now.Add(time.Hour)
 			h.post(Ticked{})
-			x, p := h.state.registry.targets["a"], &pendingCall{route: NewRoute("orders", "shop.example", "/orders/"), tried: map[*target]bool{}}
+			x, p := h.state.registry.targets["a"], &pendingCall{route: NewRoute("orders", "shop.example", "/orders/"), tried: map[upstreamStart]bool{}}
 			rule := func() versionRule { return h.state.versionRuleFor("desk", h.call("/orders/1")) }
 			is.True(h.state.allows(x, p, rule(), preferred))
 			unmet[c.name](h, x, p)
