A request that waits at a busy engine is not aborted by the failover timeout

Cause: where requests wait, no report tells whether the aborted one is among them, so that its end is not seen and the call is lost when its caller would leave.

Change: an attempt is aborted for the failover timeout or silence only at an engine that lists all its runs and has no requests that wait. Before, 2 of the 6 cases of TestEndIsObservableOnlyWhereNothingElseWaits do not hold.

--- a/runend/history.go
+++ b/runend/history.go
@@ -91,7 +91,9 @@
 	return r.closed && n >= timeouts && !h.timedOutAt[n-timeouts].Before(r.abandonedAt)
 }
 
-// Observable reports whether the end of a run that is aborted now is likely to be seen: the engine has listed its runs since the time.
+// Observable reports whether the end of a run that is aborted now is likely to be seen: the engine has listed all its runs since the time,
+// and no request waits there, which a report would not tell apart from the aborted one.
 func (h *History) Observable(since time.Time) bool {
-	return h.last.report.lists() && !h.last.startedAt.Before(since)
+	report := h.last.report
+	return report.complete() && report.waiting == 0 && !h.last.startedAt.Before(since)
 }
--- a/runend/history_test.go
+++ b/runend/history_test.go
@@ -7,6 +7,29 @@
 	"github.com/matryer/is"
 )
 
+// Guards against an attempt that is aborted although the end of its run will not be seen, so that its request is lost.
+func TestEndIsObservableOnlyWhereNothingElseWaits(t *testing.T) {
+	now := time.Date(2026, time.December, 6, 12, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		name  string
+		check Check
+		want  bool
+	}{
+		{"lists its runs", NewReport(now, NewRuns([]string{"r-1"}, 0)), true},
+		{"requests wait", NewReport(now, NewRuns([]string{"r-1"}, 2)), false},
+		{"lists some of its runs", NewReport(now, NewRuns([]string{"r-1"}, 0).Partial()), false},
+		{"lists none", NewReport(now, Report{}), false},
+		{"old report", NewReport(now.Add(-2*time.Second), NewRuns(nil, 0)), false},
+		{"refused", NewCheck(now, Refused), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var h History
+			h.Record(c.check)
+			is.New(t).Equal(h.Observable(now.Add(-time.Second)), c.want)
+		})
+	}
+}
+
 // Guards against a run that counts as ended while it may be in progress.
 func TestEndingOfARun(t *testing.T) {
 	start := time.Date(2026, time.December, 6, 12, 0, 0, 0, time.UTC)
