--- a/gateway/move.go
+++ b/gateway/move.go
@@ -45,7 +45,6 @@
 	// upstream is the upstream's entry, known whether there is one.
 	upstream Upstream
 	known    bool
-	byPeer   bool
 	run      runend.Run
 	cause    moveCause
 	eventAt  time.Time // Of the last event.
@@ -68,11 +67,11 @@
 
 // previousRun describes the call's attempt that ended with the outcome.
 func (s *State) previousRun(c *Call, p *pendingCall, o Outcome) *previousRun {
-	x := &previousRun{byPeer: p.peer != "", cause: p.moveCause(o), eventAt: p.lastEventAt, ending: runend.Unseen}
-	if x.byPeer {
+	x := &previousRun{cause: p.moveCause(o), eventAt: p.lastEventAt, ending: runend.Unseen}
+	if p.peer != "" {
 		x.upstreamID = o.placement
 		x.upstream, x.known = s.upstreamEntry(o.placement)
-		x.run = runend.NewRun(c.id, p.sentAt).Aborted(s.now) // What ended is the connection to the peer.
+		x.run = runend.NewRun(c.id).Aborted(s.now) // What ended is the connection to the peer.
 		return x
 	}
 	x.upstreamID, x.upstream, x.known = p.target.id, p.target.Upstream, true
@@ -90,7 +89,7 @@
 
 // currentRun describes the call's attempt in progress.
 func (p *pendingCall) currentRun(c *Call) runend.Run {
-	run := runend.NewRun(c.id, p.sentAt)
+	run := runend.NewRun(c.id)
 	if p.gotFirstToken {
 		run = run.WithEvent(p.firstTokenAt)
 	}
@@ -184,7 +183,7 @@
 	if !known {
 		return s.refuse(c, p, rail.KindNotReady, notReadyRetryAfter)
 	}
-	p.previous = &previousRun{upstreamID: upstreamID, upstream: upstream, known: true, byPeer: true, run: runend.NewRun(c.id, s.now).Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
+	p.previous = &previousRun{upstreamID: upstreamID, upstream: upstream, known: true, run: runend.NewRun(c.id).Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
 	s.calls[c] = p
 	s.moves[c] = &move{since: s.now, forwarded: true}
 	return append(s.checkEngine(upstream, moveCheckInterval), Hold{call: c})
--- a/runend/run.go
+++ b/runend/run.go
@@ -5,8 +5,8 @@
 // Run is a stream at an engine, as the attempt shows it.
 type Run struct {
 	id string
-	// sentAt is when the attempt began, eventAt when its first event arrived, zero if none has.
-	sentAt, eventAt time.Time
+	// eventAt is when the first event of the attempt arrived, zero if none has.
+	eventAt time.Time
 	// abandonedAt is when the attempt ended without the end of the stream, zero while it is in progress.
 	abandonedAt time.Time
 	// closed reports whether the connection ended by itself, timedOut whether it did for want of acknowledgements. Both are false if the
@@ -14,8 +14,8 @@
 	closed, timedOut bool
 }
 
-// NewRun returns the run of a request whose attempt began at the time.
-func NewRun(id string, sentAt time.Time) Run { return Run{id: id, sentAt: sentAt} }
+// NewRun returns the run of a request whose attempt is in progress and has had no event.
+func NewRun(id string) Run { return Run{id: id} }
 
 // WithEvent returns the run with the time of its first event.
 func (r Run) WithEvent(at time.Time) Run {
@@ -41,9 +41,6 @@
 	return r
 }
 
-// ID returns the id of the request.
-func (r Run) ID() string { return r.id }
-
 // listedSince returns the time from which a run that is in progress must be listed, false if there is none. A request without an event may
 // have waited until its attempt ended, and may not have begun to run.
 func (r Run) listedSince() (time.Time, bool) {
