duty: fixed counts are written again before the lease is renewed in a new era

A holder that goes on after a restore renewed the lease first if the write of its fixed counts failed, or released the lease. The record of the new era told the next holder that no counts are missing, so that it would have fixed others for windows that were reported.

Change: counts that the topic lacks are written before the renewal, and the lease expires instead of being released while any are missing.

Tests, which fail before: TestHolderFixesCountsAgainBeforeItsLease, TestLeaseIsNotReleasedWithoutItsCounts.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -199,20 +199,19 @@
 	if stored, at := r.lease.Admitted(); !known && len(stored) > 0 {
 		admitted, wall = stored, at
 	}
+	// A record of the lease in an era says that the topic has the counts that its holders fixed before.
+	if r.lease.Held(now) {
+		if err := r.fixUsageAgain(ctx); err != nil {
+			return r.readAfterConflict(ctx, err)
+		}
+	}
 	key, value, err := r.lease.Claim(now, admitted, wall, window)
 	if err != nil {
 		return err
 	}
 	at := r.lease.Next()
 	if err := r.topic.Append(ctx, key, value, r.lease.Position()); err != nil {
-		if errors.Is(err, gateway.ErrConflict) {
-			era := r.lease.Era()
-			err = r.readTopic(ctx)
-			if err != nil || r.lease.Era() == era {
-				r.lease.Drop()
-			}
-		}
-		return err
+		return r.readAfterConflict(ctx, err)
 	}
 	taken, err := r.lease.ClaimAppended(value, at, now)
 	if taken {
@@ -224,6 +223,18 @@
 	return err
 }
 
+// readAfterConflict reads the topic if the error is that of a conflict, and drops the lease unless the store was restored.
+func (r *Runner) readAfterConflict(ctx context.Context, err error) error {
+	if !errors.Is(err, gateway.ErrConflict) {
+		return err
+	}
+	era := r.lease.Era()
+	if err = r.readTopic(ctx); err != nil || r.lease.Era() == era {
+		r.lease.Drop()
+	}
+	return err
+}
+
 // readTopic applies the records that other gateways wrote to the topic.
 func (r *Runner) readTopic(ctx context.Context) error {
 	r.lastRead = r.now()
@@ -268,6 +279,10 @@
 		r.log.Write(rail.EventDutyLost, gateway.NewField("fence", r.lease.Fence()), gateway.NewField("error", "a call has no reply: the lease expires instead of being released"))
 		return
 	}
+	if lacking := r.lease.UnrecordedUsage(); len(lacking) > 0 {
+		r.log.Write(rail.EventDutyLost, gateway.NewField("fence", r.lease.Fence()), gateway.NewField("error", "the store was restored and lacks usage counts: the lease expires instead of being released"), gateway.NewField("windows", lacking))
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key, value, err := r.lease.Release()
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +42,9 @@
 	if t.unavailable {
 		return gateway.Batch{}, errUnavailable
 	}
+	if from > int64(len(t.records)) {
+		return gateway.Batch{}, gateway.ErrCompacted
+	}
 	return gateway.NewBatch(t.records[from:], int64(len(t.records))).WithEra(t.era), nil
 }
 
@@ -354,3 +358,71 @@
 		}
 	})
 }
+
+// newRestoredHolder returns a runner that holds the lease and has fixed the counts of a window, with its topic, which was restored since
+// from a copy without either.
+func newRestoredHolder(t *testing.T) (r *Runner, topic *failingTopic) {
+	t.Helper()
+	is := is.New(t)
+	topic = &failingTopic{}
+	start := time.Now()
+	g := gateway.New(gateway.NewState(gateway.NewSettings("gateway-1", "north", "first", start)), nil, discardLog{}, nil)
+	r = New(NewLease("gateway-1", "first", testLength, 0), g, topic, noCloud{}, upToDate{}, discardLog{}, func() time.Duration { return time.Minute + time.Since(start) }, false, false)
+	r.tick(t.Context())
+	is.True(r.lease.Held(r.now()))
+	is.NoErr(r.fixUsage(t.Context(), 40, map[string]int64{"engravers": 7}))
+	topic.records, topic.era = nil, topic.era+1
+	return r, topic
+}
+
+// failingTopic is a topic that fails to append records whose keys begin with the prefix, none if it is empty.
+type failingTopic struct {
+	unreliableTopic
+	failing string
+}
+
+func (t *failingTopic) Append(ctx context.Context, key string, value []byte, at gateway.Position) error {
+	if t.failing != "" && strings.HasPrefix(key, t.failing) {
+		return errUnavailable
+	}
+	return t.unreliableTopic.Append(ctx, key, value, at)
+}
+
+// Guards against a holder that is lost between the record of its lease in a new era and the counts that it had fixed before: the next
+// one would fix others.
+func TestHolderFixesCountsAgainBeforeItsLease(t *testing.T) {
+	simtime.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		r, topic := newRestoredHolder(t)
+		topic.failing = prefixUsage
+		for range 5 {
+			time.Sleep(tickInterval)
+			r.tick(t.Context())
+		}
+		is.Equal(len(topic.records), 0)
+		topic.failing = ""
+		for range 2 {
+			time.Sleep(tickInterval)
+			r.tick(t.Context())
+		}
+		is.True(len(topic.records) >= 2)
+		is.Equal(topic.records[0].Key(), prefixUsage+"8")
+		is.Equal(topic.records[1].Key(), keyLease)
+	})
+}
+
+// Guards against a release that tells the next holder that the topic has all counts.
+func TestLeaseIsNotReleasedWithoutItsCounts(t *testing.T) {
+	simtime.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		r, topic := newRestoredHolder(t)
+		topic.failing = prefixUsage
+		for range 4 {
+			time.Sleep(tickInterval)
+			r.tick(t.Context())
+		}
+		is.True(r.lease.Held(r.now()))
+		r.release(t.Context())
+		is.Equal(len(topic.records), 0)
+	})
+}
