gateway: queued calls that are blocked meanwhile are refused at once

Change: each tick refuses the queued calls that are blocked.

Tests: TestQueuedCallThatIsBlockedMeanwhileIsRefusedAtOnce fails before.

--- a/gateway/callqueue.go
+++ b/gateway/callqueue.go
@@ -304,12 +304,35 @@
 			for _, r := range q.queue.Hopeless(0, s.shareRate(name), s.now) {
 				effects = append(effects, s.refuseQueued(q, q.calls[r], leftDeadline, rail.KindOverloaded)...)
 			}
+			effects = append(effects, s.refuseBlocked(q)...)
 		}
 		effects = append(effects, s.releaseQueue(name)...)
 	}
 	return effects
 }
 
+// refuseBlocked refuses the queued calls that were blocked meanwhile, wherever they stand in the queue.
+func (s *State) refuseBlocked(q *callQueue) []Effect {
+	if s.quarantine.blocked.Len() == 0 {
+		return nil
+	}
+	var effects []Effect
+	for _, r := range q.queue.Order(s.now) {
+		x := q.calls[r]
+		if wait, refused := s.quarantine.blockOfCall(x.call, x.pending.teamName(), s.trueTime()).Refused(); refused {
+			effects = append(effects, s.refuseQuarantined(q, x, wait)...)
+		}
+	}
+	return effects
+}
+
+// refuseQuarantined refuses a queued call under which upstreams crash.
+func (s *State) refuseQuarantined(q *callQueue, x *queuedCall, wait time.Duration) []Effect {
+	effects := s.leaveQueue(q, x, leftRefused)
+	s.refund(x.pending)
+	return append(effects, s.refuse(x.call, x.pending, rail.KindQuarantined, wait)...)
+}
+
 // releaseQueue dispatches the queued calls for which there is capacity, in their order.
 func (s *State) releaseQueue(service string) []Effect {
 	q := s.queued.byService[service]
@@ -341,9 +364,7 @@
 	c, p := x.call, x.pending
 	verdict := s.quarantined(c, p.teamName())
 	if wait, refused := verdict.Refused(); refused {
-		effects := s.leaveQueue(q, x, leftRefused)
-		s.refund(p)
-		return append(effects, s.refuse(c, p, rail.KindQuarantined, wait)...)
+		return s.refuseQuarantined(q, x, wait)
 	}
 	if effects, elsewhere := s.tryElsewhere(c, p, verdict); elsewhere {
 		return append(s.leaveQueue(q, x, leftForwarded), effects...)
--- a/gateway/callqueue_test.go
+++ b/gateway/callqueue_test.go
@@ -281,3 +281,18 @@
 		is.Equal(len(sender.sent), 0)
 	})
 }
+
+// Guards against blocked calls that wait behind others until it is their turn.
+func TestQueuedCallThatIsBlockedMeanwhileIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newQueueHarness()
+	h.fill(is)
+	h.queued(is, "/chats/1")
+	c := h.advance(time.Millisecond).call("/tags/1").WithTokens(100, 50, prompt("p"))
+	_, held := holdOf(h.post(CallArrived{call: c}), c)
+	is.True(held)
+	for i := range minCrashes {
+		h.state.quarantine.recordCrash(prompt("p"), upstreamStart{"e" + strconv.Itoa(i), 1}, h.advance(crashSpacing).now)
+	}
+	is.Equal(effectFor(h.post(Ticked{}), c).(Refuse).kind, rail.KindQuarantined)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -323,8 +323,7 @@
 // check decides on a call of the team. onTrial reports whether another call that tries out the part or the request is pending, mayTry
 // whether this gateway may try out a blocked request so long after the end of its block.
 func (q *quarantine) check(c *Call, team string, now time.Time, onTrial func(key string) bool, mayTry func(key string, since time.Duration) bool) blocklist.Verdict {
-	q.evaluate(now)
-	v := q.blocked.Check(q.blockableKeys(c, team), now)
+	v := q.blockOfCall(c, team, now)
 	for _, t := range v.Trials() {
 		key := t.Entry().Key()
 		switch {
@@ -337,6 +336,12 @@
 	return v
 }
 
+// blockOfCall decides on a call of the team by what is blocked alone.
+func (q *quarantine) blockOfCall(c *Call, team string, now time.Time) blocklist.Verdict {
+	q.evaluate(now)
+	return q.blocked.Check(q.blockableKeys(c, team), now)
+}
+
 // onlyRequest reports whether the entry is a request alone.
 func onlyRequest(e *blocklist.Entry) bool { return len(e.Members()) == 1 && isRequestKey(e.Key()) }
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -289,6 +289,40 @@
 	is.True(h.answer(h.promptCall("/chats/6", "p")))
 }
 
+// Guards against a part that is blocked because one request with it, which is sent again and again, crashes engines.
+func TestRequestAndItsPartAreToldApart(t *testing.T) {
+	is := is.New(t)
+	var engines []Upstream
+	for i := range 8 {
+		engines = append(engines, testEngine("e"+strconv.Itoa(i), "north"))
+	}
+	h := newServingHarness(engines...)
+	crashing := func() *Call {
+		return NewCall("r", "/chats/1", "key-1", NewMessage("POST", "/chats/1", "shop.example", nil, []byte("again")), h.now, h.now.Add(12*time.Second)).WithTokens(500, 100, prompt("p"))
+	}
+	for range minCrashes {
+		h.advance(time.Second).breakOff(crashing())
+	}
+	is.Equal(h.arrive(crashing()).(Refuse).kind, rail.KindQuarantined)
+	is.True(h.answer(h.promptCall("/chats/1", "p"))) // Another request with the part.
+	is.Equal(h.arrive(crashing()).(Refuse).kind, rail.KindQuarantined)
+	is.Equal(h.state.quarantine.blocked.Entry("p"), nil)
+	is.Equal(h.state.quarantine.blockedRequests, 1)
+}
+
+// A trial that an upstream refused has told nothing, and goes on at another one.
+func TestTrialThatDidNotRunGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	h := newBlockedHarness()
+	h.advance(minBlockTime + time.Second)
+	trial := h.promptCall("/chats/1", "p")
+	first := h.arrive(trial).(Send)
+	next, sent := h.end(trial, Outcome{kind: rail.KindUpstreamUnreachable, err: rail.NewError(rail.KindUpstreamUnreachable, "refused")}).(Send)
+	is.True(sent)
+	is.True(next.upstream.id != first.upstream.id)
+	is.Equal(h.arrive(h.promptCall("/chats/2", "p")).(Refuse).kind, rail.KindQuarantined)
+}
+
 func TestOneGatewayTriesOutAPart(t *testing.T) {
 	is := is.New(t)
 	c := newSimulatedCells(90, 3)
