Sets of blocked parts have one part of each place in prompts

Change: a prompt holds one part at each place. Where crashes fit several parts of a place, or several requests, none is added to the set. Candidates are compared until two crashes differ. Names: trialGateway, quarantineVerdict; the simulation of hand-overs shares its exchange of digests and its kill.

Measured: the tests of prompts, suspects, queues and explanations hold; "several parts at each place" of TestPromptPartsThatAreBlocked is new.

--- a/blocklist/blocklist.go
+++ b/blocklist/blocklist.go
@@ -9,15 +9,19 @@
 // request may have been at an engine that crashed for another reason.
 const maxUnshared = 1
 
-// Alike reports whether crashes do not tell two suspects apart, of which the first one has as many or more.
-func Alike[K comparable](first, second map[K]bool) bool {
+// Alike reports whether crashes do not tell two suspects apart, of which the first one has as many or more; has reports whether the other
+// one has a crash.
+func Alike[C any](crashes []C, has func(C) bool) bool {
 	unshared := 0
-	for crash := range first {
-		if !second[crash] {
-			unshared++
+	for _, crash := range crashes {
+		if has(crash) {
+			continue
+		}
+		if unshared++; unshared > maxUnshared {
+			return false
 		}
 	}
-	return unshared <= maxUnshared
+	return true
 }
 
 // Entry is a set of suspects that no answer and no crash tells apart. What is known of them is that requests that hold all of them crash
--- a/blocklist/blocklist_test.go
+++ b/blocklist/blocklist_test.go
@@ -1,6 +1,7 @@
 package blocklist
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -60,25 +61,18 @@
 }
 
 func TestSuspectsThatCrashesTellApart(t *testing.T) {
-	set := func(crashes ...int) map[int]bool {
-		m := map[int]bool{}
-		for _, c := range crashes {
-			m[c] = true
-		}
-		return m
-	}
 	for _, c := range []struct {
 		name          string
-		first, second map[int]bool
+		first, second []int
 		alike         bool
 	}{
-		{"the same crashes", set(1, 2, 3), set(1, 2, 3), true},
-		{"one more", set(1, 2, 3, 4), set(1, 2, 3), true},
-		{"two more", set(1, 2, 3, 4, 5), set(1, 2, 3), false},
-		{"other crashes", set(1, 2, 3), set(4, 5, 6), false},
+		{"the same crashes", []int{1, 2, 3}, []int{1, 2, 3}, true},
+		{"one more", []int{1, 2, 3, 4}, []int{1, 2, 3}, true},
+		{"two more", []int{1, 2, 3, 4, 5}, []int{1, 2, 3}, false},
+		{"other crashes", []int{1, 2, 3}, []int{4, 5, 6}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			is.New(t).Equal(Alike(c.first, c.second), c.alike)
+			is.New(t).Equal(Alike(c.first, func(crash int) bool { return slices.Contains(c.second, crash) }), c.alike)
 		})
 	}
 }
--- a/duty/handover_test.go
+++ b/duty/handover_test.go
@@ -333,6 +333,22 @@
 	}
 }
 
+// exchangeUntil exchanges digests until done is closed.
+func (h *handover) exchangeUntil(done chan struct{}) {
+	h.running.Add(1)
+	go func() {
+		defer h.running.Done()
+		for sequence := int64(1); ; sequence++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(400 * time.Millisecond):
+				h.exchange(sequence)
+			}
+		}
+	}()
+}
+
 // announcing returns the gateway that runs on the machine, nil if none does or the machine is paused, and whether its
 // digests reach nobody.
 func (n *dutyNode) announcing() (g *gateway.Gateway, silent bool) {
@@ -403,9 +419,7 @@
 		time.Sleep(h.between(2500*time.Millisecond, 5*time.Second)) // It accepts requests for 2.5 s more.
 		n.start()
 	case 3: // Killed and started.
-		n.setRunning(nil)
-		close(n.process.killed)
-		n.stop()
+		n.kill()
 		time.Sleep(h.between(300*time.Millisecond, 2*time.Second))
 		n.start()
 	}
@@ -466,18 +480,7 @@
 			n.start()
 		}
 		done := make(chan struct{})
-		h.running.Add(1)
-		go func() {
-			defer h.running.Done()
-			for sequence := int64(1); ; sequence++ {
-				select {
-				case <-done:
-					return
-				case <-time.After(400 * time.Millisecond):
-					h.exchange(sequence)
-				}
-			}
-		}()
+		h.exchangeUntil(done)
 		if restores {
 			h.running.Add(1)
 			go func() {
@@ -645,18 +648,7 @@
 			n.start()
 		}
 		done := make(chan struct{})
-		h.running.Add(1)
-		go func() {
-			defer h.running.Done()
-			for sequence := int64(1); ; sequence++ {
-				select {
-				case <-done:
-					return
-				case <-time.After(400 * time.Millisecond):
-					h.exchange(sequence)
-				}
-			}
-		}()
+		h.exchangeUntil(done)
 		for range 2 {
 			time.Sleep(h.between(time.Second, 10*time.Second))
 			killed := []*dutyNode{h.lastHolder()}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -90,7 +90,7 @@
 	}
 	p := &pendingCall{route: route, team: team, tried: map[upstreamStart]bool{}, resume: c.resume}
 	p.limitDeadline(c)
-	verdict := s.quarantined(c, p.teamName())
+	verdict := s.quarantineVerdict(c, p.teamName())
 	if wait, refused := verdict.Refused(); refused {
 		return s.refuse(c, p, rail.KindQuarantined, wait)
 	}
@@ -453,7 +453,7 @@
 
 // endCall ends a call whose last attempt ended with the outcome.
 func (s *State) endCall(c *Call, p *pendingCall, o Outcome) []Effect {
-	blockedFor, blocked := s.quarantined(c, p.teamName()).Refused()
+	blockedFor, blocked := s.quarantineVerdict(c, p.teamName()).Refused()
 	if o.answered {
 		return append(s.finish(c, p, o, "failed upstream"), Deliver{call: c})
 	}
--- a/gateway/callqueue.go
+++ b/gateway/callqueue.go
@@ -362,7 +362,7 @@
 // tryQueued dispatches the call if there is capacity for it, or ends its wait if there will be none.
 func (s *State) tryQueued(q *callQueue, x *queuedCall) []Effect {
 	c, p := x.call, x.pending
-	verdict := s.quarantined(c, p.teamName())
+	verdict := s.quarantineVerdict(c, p.teamName())
 	if wait, refused := verdict.Refused(); refused {
 		return s.refuseQuarantined(q, x, wait)
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -141,7 +141,7 @@
 	p := &pendingCall{route: route, team: team, tried: map[upstreamStart]bool{}}
 	p.limitDeadline(c)
 	x.Team, x.Priority = p.teamName(), p.priority()
-	verdict := s.quarantined(c, p.teamName())
+	verdict := s.quarantineVerdict(c, p.teamName())
 	if wait, refused := verdict.Refused(); refused {
 		return x.refuse(rail.KindQuarantined, wait)
 	}
@@ -157,7 +157,7 @@
 	x.Service, x.Evacuated = p.service.name, s.evacuations.Names()
 	x.Candidates = s.explainCandidates(c, p)
 	if len(verdict.Trials()) > 0 {
-		switch name, reached := s.trier(verdict.Trials()[0], p.service.name); {
+		switch name, reached := s.trialGateway(verdict.Trials()[0], p.service.name); {
 		case name == s.settings.name || name == "":
 		case !reached:
 			return x.refuse(rail.KindQuarantined, trialRetryAfter)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -225,7 +225,7 @@
 	}
 	p := &pendingCall{route: route, team: team, forwarded: true, attemptsLeft: f.attemptsLeft, triedIDs: f.tried, usageCounted: true, tried: map[upstreamStart]bool{}, resume: c.resume}
 	p.limitDeadline(c)
-	if wait, refused := s.quarantined(c, p.teamName()).Refused(); refused {
+	if wait, refused := s.quarantineVerdict(c, p.teamName()).Refused(); refused {
 		return s.refuse(c, p, rail.KindQuarantined, wait)
 	}
 	p.service = s.pickService(c, p)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -223,25 +223,26 @@
 	return b, false
 }
 
-// alike returns those of the candidates that crashes do not tell apart from the part x, or from the request. Of requests there is one at
-// most, since no call is two of them: if several have the crashes of a part, the part is what they have in common.
+// alike returns those of the candidates that crashes do not tell apart from x. A prompt holds one part at each place, and a call is one
+// request: if crashes fit several candidates of a place, x is what their calls have in common, and none of them is returned.
 func (q *quarantine) alike(x candidate, others []candidate, explained map[upstreamStart]bool, before *blocklist.List, now time.Time) []candidate {
 	crashes := x.unexplained(explained)
-	var parts, requests []candidate
+	byPlace := map[int][]candidate{}
 	for _, y := range others {
-		if _, ok := q.blockOf(y, explained, before, now); !ok || !blocklist.Alike(crashes, y.unexplained(explained)) {
+		if x.request || !blocklist.Alike(crashes, y.countsCrash) {
 			continue
 		}
-		if y.request {
-			requests = append(requests, y)
-		} else {
-			parts = append(parts, y)
+		if _, ok := q.blockOf(y, explained, before, now); ok {
+			byPlace[y.place()] = append(byPlace[y.place()], y)
 		}
 	}
-	if x.request || len(requests) != 1 {
-		return parts
+	var alike []candidate
+	for _, candidates := range byPlace {
+		if len(candidates) == 1 {
+			alike = append(alike, candidates[0])
+		}
 	}
-	return append(parts, requests...)
+	return alike
 }
 
 // recordCrash records that an engine broke off a request when it began to answer it.
@@ -450,9 +451,9 @@
 	return records
 }
 
-// quarantined decides whether a call of the team is refused because upstreams crash under it or under parts of its prompt, or tries
+// quarantineVerdict decides whether a call of the team is refused because upstreams crash under it or under parts of its prompt, or tries
 // them out.
-func (s *State) quarantined(c *Call, team string) blocklist.Verdict {
+func (s *State) quarantineVerdict(c *Call, team string) blocklist.Verdict {
 	onTrial := func(key string) bool {
 		trial := s.quarantine.trials[key]
 		_, pending := s.calls[trial]
@@ -464,14 +465,14 @@
 // retryQuarantined reports whether a call gets no further attempt because upstreams may crash under it. One that tries out blocked parts
 // may go on at another upstream if it has not run and this gateway makes its attempts.
 func (s *State) retryQuarantined(c *Call, p *pendingCall, notRun bool) bool {
-	v := s.quarantined(c, p.teamName())
+	v := s.quarantineVerdict(c, p.teamName())
 	_, refused := v.Refused()
 	return refused || (len(v.Trials()) > 0 && (!notRun || p.peer != ""))
 }
 
-// trier returns the gateway that tries out an entry with calls of the service; the others forward their calls to it, so that one call
+// trialGateway returns the gateway that tries out an entry with calls of the service; the others forward their calls to it, so that one call
 // at a time shows whether upstreams still crash. ok is false if it is not reached.
-func (s *State) trier(t blocklist.Trial, service string) (name string, ok bool) {
+func (s *State) trialGateway(t blocklist.Trial, service string) (name string, ok bool) {
 	key := t.Entry().Key()
 	if onlyRequest(t.Entry()) {
 		return s.settings.name, true // Gateways take turns, see triesRequest.
@@ -495,7 +496,7 @@
 	if len(v.Trials()) == 0 || p.forwarded {
 		return nil, false
 	}
-	switch name, ok := s.trier(v.Trials()[0], p.service.name); {
+	switch name, ok := s.trialGateway(v.Trials()[0], p.service.name); {
 	case name == s.settings.name || name == "":
 		return nil, false
 	case !ok:
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -81,6 +81,17 @@
 		{"two parts of the same requests, and one crash without the second one", []promptStep{{0, "e1", prompt("a", "p")}, {s, "e2", prompt("a", "p")}, {2 * s, "e3", prompt("a", "p")}, {3 * s, "e4", prompt("a", "b")}}, []string{"a and p"}},
 		{"two parts of the same requests, and two crashes without the second one", []promptStep{{0, "e1", prompt("a", "p")}, {s, "e2", prompt("a", "p")}, {2 * s, "e3", prompt("a", "p")}, {3 * s, "e4", prompt("a", "b")}, {4 * s, "e5", prompt("a", "b")}}, []string{"a"}},
 		{"two parts of the same requests, and two crashes without the first one", []promptStep{{0, "e1", prompt("a", "p")}, {s, "e2", prompt("a", "p")}, {2 * s, "e3", prompt("a", "p")}, {3 * s, "e4", prompt("p")}, {4 * s, "e5", prompt("p")}}, []string{"p"}},
+		{"several parts at each place", []promptStep{
+			{0, "e1", prompt("a", "p")},
+			{0, "e1", prompt("b", "q")},
+			{0, "e1", prompt("c", "r")},
+			{s, "e2", prompt("a", "p")},
+			{s, "e2", prompt("b", "q")},
+			{s, "e2", prompt("c", "r")},
+			{2 * s, "e3", prompt("a", "p")},
+			{2 * s, "e3", prompt("b", "q")},
+			{2 * s, "e3", prompt("c", "r")},
+		}, []string{"p"}},
 		{"two parts at different engines", []promptStep{
 			{0, "e1", prompt("p")},
 			{s, "e2", prompt("p")},
@@ -339,7 +350,7 @@
 			triers := map[string]int{}
 			n := 0
 			for _, s := range c.states {
-				name, own := s.trier(trial, "shop")
+				name, own := s.trialGateway(trial, "shop")
 				triers[name]++
 				if own { // The others do not reach it: no address for forwarded calls is registered.
 					n++
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -62,16 +62,33 @@
 }
 
 // unexplained returns the starts of upstreams whose crashes count, without those that are explained.
-func (x suspect) unexplained(explained map[upstreamStart]bool) map[upstreamStart]bool {
-	starts := map[upstreamStart]bool{}
-	for engine, at := range x.crashes {
-		if x.counts(at) && !explained[engine] {
-			starts[engine] = true
+func (x suspect) unexplained(explained map[upstreamStart]bool) []upstreamStart {
+	var starts []upstreamStart
+	for start, at := range x.crashes {
+		if x.counts(at) && !explained[start] {
+			starts = append(starts, start)
 		}
 	}
 	return starts
 }
 
+// countsCrash reports whether the upstream's start crashed, and that counts.
+func (x suspect) countsCrash(start upstreamStart) bool {
+	at, ok := x.crashes[start]
+	return ok && x.counts(at)
+}
+
+// requestPlace is the place of a request, which is no part.
+const requestPlace = -1
+
+// place returns where the part stands in prompts.
+func (x suspect) place() int {
+	if x.request {
+		return requestPlace
+	}
+	return x.depth
+}
+
 // expired reports whether nothing has to be remembered about the part any more. A blocked part is remembered for twice the
 // time for which it is blocked, so that it can be tried out.
 func (x suspect) expired(now time.Time) bool {
