The first start of the whole system needs no wait for a lease

Change: in a first start (Bootstrap) that reads the topic within 1.5 s nothing can have been reported, since reports follow two seconds after their windows. Such a start needs no wait, until the store is restored.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -53,6 +53,8 @@
 	callTimeout = 600 * time.Millisecond
 	// usageDelay is how long after its end a window is reported; by then all peers have announced their counts.
 	usageDelay = 2 * time.Second
+	// startSpread is the longest time between the starts of two gateways in a start of the whole system.
+	startSpread = 500 * time.Millisecond
 	// reportedWindows is how many ended windows are still reported; reports of older ones would be late.
 	reportedWindows = 3
 )
@@ -259,6 +261,9 @@
 		r.lease.BeginEra(b.Era(), r.now())
 	}
 	first := !r.lease.Loaded()
+	if first && r.beginsFirstStart() {
+		r.lease.BeginFirstStart()
+	}
 	if err := r.lease.Apply(b.Records(), b.Next(), r.now()); err != nil {
 		return err
 	}
@@ -268,6 +273,13 @@
 	return nil
 }
 
+// beginsFirstStart reports whether the whole system starts for the first time, so shortly ago that no gateway can have reported usage.
+func (r *Runner) beginsFirstStart() bool {
+	first := false
+	r.gateway.View(func(s *gateway.State) { first = s.FirstStart() })
+	return first && r.now()-r.started < usageDelay-startSpread
+}
+
 // errStaleRead is returned for a read that the store answered before it was restored.
 var errStaleRead = errors.New("duty: the topic was read in an earlier era of the store")
 
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -426,3 +426,32 @@
 		is.Equal(len(topic.records), 0)
 	})
 }
+
+// Guards against a gateway that takes the lease at once although others may have reported usage and the store may have been restored since.
+func TestFirstStartEndsBeforeUsageIsReported(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		firstStart bool
+		away       time.Duration // The time for which the store cannot be read.
+		held       bool
+	}{
+		{"the first start of the system", true, 0, true},
+		{"the first start, the store is read late", true, usageDelay, false},
+		{"another start", false, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simtime.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				start := time.Now()
+				topic := &unreliableTopic{era: 1, unavailable: c.away > 0}
+				settings := gateway.NewSettings("gateway-1", "north", "first", start).WithFirstStart(c.firstStart)
+				r := New(NewLease("gateway-1", "first", testLength, 0), gateway.New(gateway.NewState(settings), nil, discardLog{}, nil), topic, noCloud{}, upToDate{}, discardLog{}, func() time.Duration { return time.Minute + time.Since(start) }, false, false)
+				for end := start.Add(c.away + time.Second); time.Now().Before(end); time.Sleep(tickInterval) {
+					topic.unavailable = time.Since(start) < c.away
+					r.tick(t.Context())
+				}
+				is.Equal(r.lease.Held(r.now()), c.held)
+			})
+		})
+	}
+}
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -64,6 +64,9 @@
 	loaded   bool
 	era      int64
 	next     int64
+	// firstStart reports that the whole system had just started for the first time when this gateway first read the topic, and that the
+	// store was not restored since.
+	firstStart bool
 	// maxFence is the highest fence that is known to have been used.
 	maxFence int64
 	// heldUntil is when this gateway stops acting on the lease, zero while it does not hold it.
@@ -84,12 +87,17 @@
 // on: it is the only one that can know of its lease. All others wait as long as for a holder that is silent.
 func (l *Lease) BeginEra(era int64, at time.Duration) {
 	l.era, l.next, l.lastSeen = era, 0, at
+	l.firstStart = l.firstStart && !l.loaded
 	clear(l.recorded)
 	if !l.Held(at) {
 		l.heldUntil = 0
 	}
 }
 
+// BeginFirstStart states that the whole system starts for the first time, and that no holder can have reported anything yet. The topic must
+// be read next.
+func (l *Lease) BeginFirstStart() { l.firstStart = !l.loaded }
+
 // Era returns the era of the store that the records belong to.
 func (l *Lease) Era() int64 { return l.era }
 
@@ -206,9 +214,9 @@
 }
 
 // mayLackRecords reports whether the topic may lack records of holders because the store was restored since they were written. A store
-// may number its first era from 0 or from 1, so that only in era 0 a topic without a record is known to be that of the first start.
+// may number its first era from 0 or from 1, so that an empty topic of a later era than 0 tells nothing by itself.
 func (l *Lease) mayLackRecords() bool {
-	return l.era > 0 && (l.record.Fence == 0 || l.record.Era != l.era)
+	return l.era > 0 && !l.firstStart && (l.record.Fence == 0 || l.record.Era != l.era)
 }
 
 // Claim returns the record that renews the lease, or takes it under a higher fence; it also stores what teams had admitted up to the
--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -201,6 +201,25 @@
 	is.True(!other.Due(time.Second)) // A peer holds a lease of which the topic has no record.
 }
 
+// In a first start of the whole system nothing can have been reported, whatever the number of the first era; a restore ends that.
+func TestFirstStartNeedsNoWait(t *testing.T) {
+	for era := range int64(3) {
+		t.Run(fmt.Sprintf("era %d", era), func(t *testing.T) {
+			is := is.New(t)
+			l := NewLease("a", "a1", testLength, 100*time.Millisecond)
+			l.BeginEra(era, 0)
+			l.BeginFirstStart()
+			is.NoErr(l.Apply(nil, 0, 0))
+			is.True(l.Due(100 * time.Millisecond))
+			l.BeginEra(era+1, time.Second)
+			is.NoErr(l.Apply(nil, 0, time.Second))
+			l.BeginFirstStart() // It has read the topic before.
+			is.True(!l.Due(2 * time.Second))
+			is.True(l.Due(time.Second + testLength + 100*time.Millisecond))
+		})
+	}
+}
+
 // Guards against a gateway that takes an empty topic for that of the first start, after a restore that lost the first lease (review/8).
 func TestEmptyTopicOfALaterEraMayLackALease(t *testing.T) {
 	for era := range int64(4) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -156,6 +156,9 @@
 // Ready reports whether the gateway can serve: it has read the configuration and the upstreams and is not shutting down.
 func (s *State) Ready() bool { return s.config != nil && s.upstreamsRead && !s.leaving }
 
+// FirstStart reports whether this is the first start of the whole system.
+func (s *State) FirstStart() bool { return s.settings.firstStart }
+
 // Config returns the configuration in force, nil before the first one.
 func (s *State) Config() *Config { return s.config }
 
