--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -381,7 +381,7 @@
 	if _, waits := s.moves[c]; waits {
 		delete(s.moves, c)
 		delete(s.calls, c)
-		return []Effect{report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", p.previous.upstreamID), NewField("peer", ""), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()))}
+		return []Effect{s.reportDisconnected(c, p.previous.upstreamID, "")}
 	}
 	s.releaseLoad(p)
 	p.target.refusal.end(c, Outcome{kind: rail.KindCancelled}, s.now)
@@ -393,7 +393,12 @@
 		}
 	}
 	delete(s.calls, c)
-	return append(effects, report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", p.target.id), NewField("peer", p.peer), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds())))
+	return append(effects, s.reportDisconnected(c, p.target.id, p.peer))
+}
+
+// reportDisconnected reports that the caller disconnected, and which upstream or peer had the call.
+func (s *State) reportDisconnected(c *Call, upstreamID, peer string) Report {
+	return report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", upstreamID), NewField("peer", peer), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()))
 }
 
 // releaseLoad subtracts the attempt from the upstream's load.
@@ -468,7 +473,7 @@
 		case p.unknownToPeer(o):
 			wait = 0
 		case o.kind == rail.KindQuarantined:
-			wait = requestTrialRetryAfter // Another call tries out the same parts there.
+			wait = pendingTrialRetryAfter // Another call tries out the same parts there.
 		default:
 			kind, wait = rail.KindUpstreamUnreachable, noUpstreamRetryAfter
 		}
--- a/gateway/callqueue.go
+++ b/gateway/callqueue.go
@@ -443,5 +443,5 @@
 	}
 	effects := s.leaveQueue(s.queued.byService[x.pending.service.name], x, leftDisconnected)
 	s.refund(x.pending)
-	return append(effects, report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", ""), NewField("peer", ""), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds())))
+	return append(effects, s.reportDisconnected(c, "", ""))
 }
--- a/gateway/configwait.go
+++ b/gateway/configwait.go
@@ -88,5 +88,5 @@
 		return nil, false
 	}
 	delete(s.configWaits, c)
-	return []Effect{report(rail.EventCallerDisconnected, NewField("request", c.id), NewField("upstream", ""), NewField("peer", ""), NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()))}, true
+	return []Effect{s.reportDisconnected(c, "", "")}, true
 }
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -156,15 +156,13 @@
 	p.service = s.pickService(c, p)
 	x.Service, x.Evacuated = p.service.name, s.evacuations.Names()
 	x.Candidates = s.explainCandidates(c, p)
-	if len(verdict.Trials()) > 0 {
-		switch name, reached := s.trialGateway(verdict.Trials()[0], p.service.name); {
-		case name == s.settings.name || name == "":
-		case !reached:
-			return x.refuse(rail.KindQuarantined, trialRetryAfter)
-		default:
-			x.Verdict, x.Peer = verdictForward, name
-			return Explanation{x}
-		}
+	switch name, reached := s.trialPeer(p, verdict); {
+	case name == "":
+	case !reached:
+		return x.refuse(rail.KindQuarantined, unreachedTrialRetryAfter)
+	default:
+		x.Verdict, x.Peer = verdictForward, name
+		return Explanation{x}
 	}
 	if s.partitioned(p.service.name) {
 		return s.explainForward(x, c, p)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -63,8 +63,8 @@
 	// minBlockTime is how long a part is blocked; each further crash doubles the time up to maxBlockDoublings times.
 	minBlockTime      = time.Minute
 	maxBlockDoublings = 4
-	// trialRetryAfter is the Retry-After value while the gateway that tries out a part is not reached.
-	trialRetryAfter = 5 * time.Second
+	// unreachedTrialRetryAfter is the Retry-After value while the gateway that tries out a part is not reached.
+	unreachedTrialRetryAfter = 5 * time.Second
 	// suspicionTime is how long crashes of a part that is not blocked are remembered.
 	suspicionTime = 5 * time.Minute
 	// clearedTime is how long a cleared part, and the last answer for each part, are remembered: news of crashes before may come later.
@@ -329,9 +329,9 @@
 		key := t.Entry().Key()
 		switch {
 		case slices.ContainsFunc(t.Entry().Members(), onTrial):
-			v = v.Refuse(requestTrialRetryAfter)
+			v = v.Refuse(pendingTrialRetryAfter)
 		case onlyRequest(t.Entry()) && !mayTry(key, now.Sub(t.Entry().Until())):
-			v = v.Refuse(requestTrialRetryAfter)
+			v = v.Refuse(pendingTrialRetryAfter)
 		}
 	}
 	return v
@@ -451,63 +451,6 @@
 	return records
 }
 
-// quarantineVerdict decides whether a call of the team is refused because upstreams crash under it or under parts of its prompt, or tries
-// them out.
-func (s *State) quarantineVerdict(c *Call, team string) blocklist.Verdict {
-	onTrial := func(key string) bool {
-		trial := s.quarantine.trials[key]
-		_, pending := s.calls[trial]
-		return pending && trial != c
-	}
-	return s.quarantine.check(c, team, s.trueTime(), onTrial, s.triesRequest)
-}
-
-// retryQuarantined reports whether a call gets no further attempt because upstreams may crash under it. One that tries out blocked parts
-// may go on at another upstream if it has not run and this gateway makes its attempts.
-func (s *State) retryQuarantined(c *Call, p *pendingCall, notRun bool) bool {
-	v := s.quarantineVerdict(c, p.teamName())
-	_, refused := v.Refused()
-	return refused || (len(v.Trials()) > 0 && (!notRun || p.peer != ""))
-}
-
-// trialGateway returns the gateway that tries out an entry with calls of the service; the others forward their calls to it, so that one call
-// at a time shows whether upstreams still crash. ok is false if it is not reached.
-func (s *State) trialGateway(t blocklist.Trial, service string) (name string, ok bool) {
-	key := t.Entry().Key()
-	if onlyRequest(t.Entry()) {
-		return s.settings.name, true // Gateways take turns, see triesRequest.
-	}
-	if !s.partitioned(service) {
-		name, ok = s.settings.name, true
-	}
-	reached := s.forwardPeers(service)
-	for peer, r := range s.registrations.byName {
-		alive := s.peerAlive(peer, r) && !s.partitionedPeers[service][peer]
-		if (alive || t.Expired()) && (name == "" || hashWeight(key, peer) > hashWeight(key, name)) {
-			name, ok = peer, slices.Contains(reached, peer)
-		}
-	}
-	return name, ok
-}
-
-// tryElsewhere forwards a call that tries out blocked parts to the gateway that may do so, or refuses it if that one is not reached. It
-// returns false if this gateway goes on with the call.
-func (s *State) tryElsewhere(c *Call, p *pendingCall, v blocklist.Verdict) ([]Effect, bool) {
-	if len(v.Trials()) == 0 || p.forwarded {
-		return nil, false
-	}
-	switch name, ok := s.trialGateway(v.Trials()[0], p.service.name); {
-	case name == s.settings.name || name == "":
-		return nil, false
-	case !ok:
-		s.refund(p)
-		return s.refuse(c, p, rail.KindQuarantined, trialRetryAfter), true
-	default:
-		s.accept(c, p)
-		return s.forward(c, p, name), true
-	}
-}
-
 // recordPromptOutcome records what an attempt tells about the call and the parts of its prompt. An answer that ended with its
 // connection may have been broken off. The attempt ended at the time, seen is the true one.
 func (s *State) recordPromptOutcome(c *Call, p pendingCall, o Outcome, at, seen time.Time) {
--- a/gateway/requestkey.go
+++ b/gateway/requestkey.go
@@ -24,8 +24,8 @@
 	requestSuspicionTime = time.Minute
 	// trierDelay is the time after which one more gateway tries out a request, since the first may have no such request or be down.
 	trierDelay = 10 * time.Second
-	// requestTrialRetryAfter is the Retry-After value while another call that tries out the same request or part is pending.
-	requestTrialRetryAfter = time.Second
+	// pendingTrialRetryAfter is the Retry-After value while another call that tries out the same request or part is pending.
+	pendingTrialRetryAfter = time.Second
 )
 
 // isRequestKey reports whether the key is that of a whole request.
