Log which connection carried an attempt

The lines of attempts named the upstream only, so that a log could not tell whether two attempts of a call, or two calls with one id, shared an address, a start or a connection: the hypotheses 1, 2 and 4 of docs/incidents/refusal-copy.md look alike in it.

Event 1230 has the address and the start of the upstream, 1231 and 1232 have the number of the connection and how many requests it carried before. Behaviour is unchanged.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -264,7 +264,7 @@
 	}
 	return []Effect{
 		report(rail.EventAttemptSent, NewField("request", c.id), NewField("attempt", p.attempts), NewField("route", p.route.name), NewField("team", p.teamName()),
-			NewField("upstream", t.id), NewField("domain", t.domain), NewField("running", t.ownLoad.running+t.peerLoad.running), NewField("waitMs", wait.Milliseconds()),
+			NewField("upstream", t.id), NewField("address", t.address), NewField("startMs", t.startedAtMs), NewField("domain", t.domain), NewField("running", t.ownLoad.running+t.peerLoad.running), NewField("waitMs", wait.Milliseconds()),
 			NewField("failing", t.health.decayedShare(s.now)), NewField("config", s.config.version), NewField("leftMs", p.deadline.Sub(s.now).Milliseconds()), NewField("resume", p.resume), NewField("fetch", cacheSource)),
 		Send{
 			call: c, upstream: t.Upstream, route: p.route, team: p.teamName(), attempt: p.attempts, priority: p.priority(), resume: p.resume, deadline: p.deadline,
@@ -424,7 +424,8 @@
 	}
 	effects = append(effects, report(rail.EventAttemptEnded, NewField("request", c.id), NewField("attempt", p.attempts), NewField("upstream", t.id), NewField("peer", p.peer), NewField("placement", o.placement),
 		NewField("kind", string(o.kind)), NewField("status", o.status), NewField("events", o.events), NewField("last", o.lastEventID),
-		NewField("tookMs", s.now.Sub(p.sentAt).Milliseconds()), NewField("parts", partIDs(shareableParts(c.parts))), NewField("key", c.requestKey(p.teamName())), NewField("brokenOff", o.brokenOff()), ErrorField(o.err)))
+		NewField("tookMs", s.now.Sub(p.sentAt).Milliseconds()), NewField("parts", partIDs(shareableParts(c.parts))), NewField("key", c.requestKey(p.teamName())), NewField("brokenOff", o.brokenOff()),
+		NewField("connection", o.connection.number), NewField("carried", o.connection.carried), ErrorField(o.err)))
 	if o.lastEventID != "" {
 		p.resume = o.lastEventID
 	}
@@ -670,7 +671,8 @@
 	}
 	return []Effect{report(rail.EventRequestServed, NewField("request", c.id), NewField("outcome", outcome), NewField("status", o.status), NewField("attempts", p.attempts),
 		NewField("upstream", p.target.id), NewField("peer", p.peer), NewField("placement", o.placement), NewField("route", p.route.name), NewField("team", p.teamName()), NewField("events", o.events),
-		NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()), NewField("connectionMs", c.connectionAge.Milliseconds()))}
+		NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()), NewField("connectionMs", c.connectionAge.Milliseconds()),
+		NewField("connection", o.connection.number), NewField("carried", o.connection.carried))}
 }
 
 // refuse ends a call with an error kind.
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -181,7 +181,8 @@
 	// headRead reports whether the head of an answer was read.
 	headRead bool
 	// placement is the id of the upstream that a peer sent the call to, empty if it sent it to none.
-	placement string
+	placement  string
+	connection ConnectionUse
 }
 
 // brokenOff reports whether the upstream's connection ended before the answer did.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,8 @@
 	endsWithConnection bool
 	notice             Notice
 	// placement is the id of the upstream whose answer a peer forwarded.
-	placement string
+	placement  string
+	connection ConnectionUse
 }
 
 // NewAnswer returns an answer with the headers to forward; length is that of the body, negative if unknown.
@@ -80,6 +81,12 @@
 	return a
 }
 
+// WithConnection sets which connection carried the attempt, and returns the answer.
+func (a *Answer) WithConnection(u ConnectionUse) *Answer {
+	a.connection = u
+	return a
+}
+
 // Gateway applies events to the reducer and runs its effects; it is safe for concurrent use.
 type Gateway struct {
 	mu     sync.Mutex
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -152,7 +152,7 @@
 		forward = r.forwardStream
 	}
 	o := forward(ctx, answer, stopTimer)
-	o.endedWithConnection, o.placement, o.headRead = answer.endsWithConnection, answer.placement, true
+	o.endedWithConnection, o.placement, o.headRead, o.connection = answer.endsWithConnection, answer.placement, true, answer.connection
 	return o
 }
 
@@ -190,6 +190,10 @@
 	if errors.As(err, &placed) {
 		o.placement = placed.upstreamID
 	}
+	var used *ConnectionError
+	if errors.As(err, &used) {
+		o.connection = used.use
+	}
 	return o
 }
 
