--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -422,10 +422,12 @@
 		}
 		return append(effects, s.finish(c, p, o, "served")...)
 	}
-	effects = append(effects, report(rail.EventAttemptEnded, NewField("request", c.id), NewField("attempt", p.attempts), NewField("upstream", t.id), NewField("peer", p.peer), NewField("placement", o.placement),
+	fields := []Field{
+		NewField("request", c.id), NewField("attempt", p.attempts), NewField("upstream", t.id), NewField("peer", p.peer), NewField("placement", o.placement),
 		NewField("kind", string(o.kind)), NewField("status", o.status), NewField("events", o.events), NewField("last", o.lastEventID),
-		NewField("tookMs", s.now.Sub(p.sentAt).Milliseconds()), NewField("parts", partIDs(shareableParts(c.parts))), NewField("key", c.requestKey(p.teamName())), NewField("brokenOff", o.brokenOff()),
-		NewField("connection", o.connection.number), NewField("carried", o.connection.carried), ErrorField(o.err)))
+		NewField("tookMs", s.now.Sub(p.sentAt).Milliseconds()), NewField("parts", partIDs(shareableParts(c.parts))), NewField("key", c.requestKey(p.teamName())), NewField("brokenOff", o.brokenOff()), ErrorField(o.err),
+	}
+	effects = append(effects, report(rail.EventAttemptEnded, append(fields, o.connection.fields()...)...))
 	if o.lastEventID != "" {
 		p.resume = o.lastEventID
 	}
@@ -669,10 +671,12 @@
 	if o.kind == rail.KindNone && p.resume == "" {
 		s.workMeter.answered(p.service, c, o.events)
 	}
-	return []Effect{report(rail.EventRequestServed, NewField("request", c.id), NewField("outcome", outcome), NewField("status", o.status), NewField("attempts", p.attempts),
+	fields := []Field{
+		NewField("request", c.id), NewField("outcome", outcome), NewField("status", o.status), NewField("attempts", p.attempts),
 		NewField("upstream", p.target.id), NewField("peer", p.peer), NewField("placement", o.placement), NewField("route", p.route.name), NewField("team", p.teamName()), NewField("events", o.events),
 		NewField("tookMs", s.now.Sub(c.arrived).Milliseconds()), NewField("connectionMs", c.connectionAge.Milliseconds()),
-		NewField("connection", o.connection.number), NewField("carried", o.connection.carried))}
+	}
+	return []Effect{report(rail.EventRequestServed, append(fields, o.connection.fields()...)...)}
 }
 
 // refuse ends a call with an error kind.
