service: an answer whose status is none is a failure

What callers saw: a service that answers with a status such as 000, 099, +20 or 999 counted as having answered, and an answer with 101 was read as a body, beyond the call's timeout.

Cause: net/http accepts any three digits as a status, and the client returned what it got. After 101 the body is the connection itself, which the context of the call does not end.

Change: a final status is one of 200 to 599; any other is a failure of the upstream. The order may have run, so that the kind is upstreamFailed.

--- a/service/client.go
+++ b/service/client.go
@@ -73,6 +73,9 @@
 		return rail.ServiceReply{}, err
 	}
 	defer closeBody(response)
+	if !rail.ValidStatus(response.StatusCode) {
+		return rail.ServiceReply{}, rail.NewError(rail.KindUpstreamFailed, "status %d", response.StatusCode)
+	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerNotRun) == "true" {
 		return rail.ServiceReply{}, rail.NewError(rail.KindUpstreamRefused, "%s refused before any work", d.Upstream().ID())
 	}
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// Guards against answers whose status is none, which the callers' server can't write or passes on as they are.
+func TestAnswerWithAnInvalidStatusIsAFailure(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "700", "999"} {
+		for name, order := range map[string]bool{"order": true, "lookup": false} {
+			for _, header := range []string{"", "X-Not-Run: true\r\n", "Upgrade: tin\r\nConnection: Upgrade\r\n"} {
+				t.Run(status+" "+name+" "+header, func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					u := startUpstream(t, write("HTTP/1.1 "+status+" No\r\n"+header+"Content-Length: 4\r\n\r\ndone"))
+					c := service.New(service.Defaults().WithCallTimeout(2 * time.Second))
+					reply, err := c.Call(context.Background(), newDispatch(u.listener.Addr().String(), "GET", order))
+					is.Equal(rail.KindOf(err), rail.KindUpstreamFailed)
+					is.Equal(reply, rail.ServiceReply{})
+					is.Equal(u.runs.Load(), int32(1))
+				})
+			}
+		}
+	}
+}
+
 func TestFailedConnectionIsNotRun(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
