caller: a reply with an invalid status is a failure of the upstream

What callers saw: 500 with the kind internal for an order that had run, after a panic in net/http; 600 and 999 as they were; 200 and an empty stream for 000 at an idempotent route.

Cause: the status of a reply was written as it came. Entries of older builds may still hand over, forward or record such replies.

Change: a reply is written only with a status of 200 to 599; any other is answered as upstreamFailed, with X-Run: unknown.

Measured: TestServiceAnswerWithAnInvalidStatusIsAFailure failed before the fix in all 19 cases: 500 below 100, else the status itself. All pass with it.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -123,7 +123,7 @@
 func endStream(c echo.Context, id rail.RequestID, last answer.ReadResult) error {
 	w, kind := c.Response(), last.Kind()
 	if reply := last.Reply(); reply.Status() != 0 {
-		return c.Blob(reply.Status(), reply.ContentType(), reply.Body())
+		return writeReply(c, id, reply)
 	}
 	if kind != rail.KindNone && !w.Committed {
 		return refuse(c, id, kind, "")
--- a/caller/model.go
+++ b/caller/model.go
@@ -144,7 +144,7 @@
 		return refuse(c, id, last.Kind(), "")
 	}
 	if reply := last.Reply(); reply.Status() != 0 {
-		return c.Blob(reply.Status(), reply.ContentType(), reply.Body())
+		return writeReply(c, id, reply)
 	}
 	return c.JSON(http.StatusOK, format.complete(id, text))
 }
--- a/caller/order.go
+++ b/caller/order.go
@@ -59,11 +59,19 @@
 		if !ok {
 			return refuse(c, request.ID(), rail.KindInternal, "")
 		}
-		reply := replied.Reply()
-		return c.Blob(reply.Status(), reply.ContentType(), reply.Body())
+		return writeReply(c, request.ID(), replied.Reply())
 	})
 }
 
+// writeReply writes the response of a service. A status that is none, which an entry of an older build may have accepted, is the
+// failure of an upstream: net/http panics below 100.
+func writeReply(c echo.Context, id rail.RequestID, reply rail.ServiceReply) error {
+	if !rail.ValidStatus(reply.Status()) {
+		return refuse(c, id, rail.KindUpstreamFailed, "the service answered with an invalid status")
+	}
+	return c.Blob(reply.Status(), reply.ContentType(), reply.Body())
+}
+
 // handleTicket issues a ticket, which permits one run of one order.
 func (s *Server) handleTicket(c echo.Context) error {
 	team, err := s.authenticate(c, s.documents.InForce())
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -191,3 +192,35 @@
 		})
 	}
 }
+
+// Guards against statuses that peers of older builds may still send: net/http panics below 100, and 0 looked like a model's answer.
+func TestServiceAnswerWithAnInvalidStatusIsAFailure(t *testing.T) {
+	for _, status := range []int{0, 1, 20, 99, 101, 600, 999} {
+		for _, path := range []string{"/s/orders/tins", "/v1/completions", "/v1/answers/x"} {
+			if status == 0 && path != "/s/orders/tins" {
+				continue // No service answered; the answer is a model's.
+			}
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				is := is.New(t)
+				reply := rail.NewServiceReply(status, "text/plain", []byte("cut"))
+				store := answer.NewStore(answer.Defaults())
+				store.Open("x", "counter")
+				store.Finish("x", rail.KindNone, reply)
+				m := &mailbox{answer: func(id rail.RequestID, _ rail.Event) rail.CallEffect {
+					store.Finish(id, rail.KindNone, reply)
+					return answer.NewFinished(id, rail.KindNone, reply)
+				}}
+				method, body := "POST", `{"model":"tin-writer","prompt":"t"}`
+				if path == "/v1/answers/x" {
+					method, body = "GET", ""
+				}
+				for _, headers := range [][]string{nil, {"Accept", "text/event-stream"}} {
+					w := send(newServer(m, store), method, path, "counter", body, headers...)
+					is.Equal(w.Code, http.StatusBadGateway)
+					is.Equal(w.Header().Get("X-Run"), string(rail.RunUnknown))
+					is.True(strings.Contains(w.Body.String(), `"kind":"upstreamFailed"`))
+				}
+			})
+		}
+	}
+}
