engine: an answer whose status is none is a failure

What was seen: a stream answered with 000, 001, 099 or +20 was delivered as complete, and an order of a version counted as carried out; after 101 a call waited for as long as the engine kept the connection.

Cause: every status below 300 counted as success. After 101 the body is the connection itself, which the context of the call does not end.

Change: a final status is one of 200 to 599; any other is upstreamFailed, and its body is closed unread.

Measured: TestAnswerWithAnInvalidStatusIsAFailure failed before the fix for 000, 001, 099, +20 and 101 (10 of 14 cases; those of 600 and 999 passed); 101 with Upgrade was still waiting after 20 s where the engine kept the connection. All 14 pass with it, three runs.

--- a/engine/client.go
+++ b/engine/client.go
@@ -114,6 +114,10 @@
 	if err != nil {
 		return nil, transportError(err, connected.Load())
 	}
+	if !rail.ValidStatus(response.StatusCode) {
+		_ = response.Body.Close() // The body of 101 is the connection, which the context does not end.
+		return nil, rail.NewError(rail.KindUpstreamFailed, "status %d", response.StatusCode)
+	}
 	if response.StatusCode < http.StatusMultipleChoices {
 		return response, nil
 	}
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// Guards against answers whose status is none and that count as success because they are below 300.
+func TestAnswerWithAnInvalidStatusIsAFailure(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		for _, header := range []string{"", "Upgrade: tin\r\nConnection: Upgrade\r\n"} {
+			t.Run(status+" "+header, func(t *testing.T) {
+				is := is.New(t)
+				body := lastTwoTokens + endEvent
+				answer := fmt.Sprintf("HTTP/1.1 %s No\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+				f := newFakeEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					t.Cleanup(func() { _ = conn.Close() })
+					_, _ = io.WriteString(conn, answer)
+				})
+				c := newClient(t)
+				text, _, err := runStream(t.Context(), c, f.upstream())
+				is.Equal(rail.KindOf(err), rail.KindUpstreamFailed)
+				is.Equal(text, "")
+				c.Close() // No connection is used twice: the engine above answers the first request only.
+				is.Equal(rail.KindOf(c.Order(t.Context(), f.upstream(), 12, "tin-writer", "v2")), rail.KindUpstreamFailed)
+				is.Equal(f.streams.Load(), int64(2))
+			})
+		}
+	}
+}
+
 func TestStreamRequestCarriesResumeOffset(t *testing.T) {
 	is := is.New(t)
 	f := newFakeEngine(t, write(lastTwoTokens+endEvent))
