outside: an answer with 101 does not hold a call

Cause: after 101 the body is the connection itself, which the context of the call does not end, so that a read of the log, the list or the cloud waited for as long as the platform kept the connection.

Change: a final status is one of 200 to 599; any other is an error of its own before the body is read.

--- a/outside/client.go
+++ b/outside/client.go
@@ -60,6 +60,10 @@
 		return rail.WrapError(err, rail.KindPlatformUnavailable, method+" "+path)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !rail.ValidStatus(resp.StatusCode) {
+		// The body of 101 is the connection, which the context does not end.
+		return statusError(resp.StatusCode, method, path, nil)
+	}
 	body, complete, err := rail.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		c.closeIdleAfterTimeout(ctx)
--- a/outside/client_test.go
+++ b/outside/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -67,3 +68,23 @@
 		})
 	}
 }
+
+// Guards against statuses that are none, of which 101 held a call for as long as the connection lasted.
+func TestAnswerWithAnInvalidStatusIsAFailure(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { _ = conn.Close() })
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" No\r\nUpgrade: tin\r\nConnection: Upgrade\r\nContent-Length: 12\r\n\r\n"+`{"offset":3}`)
+			}))
+			t.Cleanup(s.Close)
+			_, err := outside.New(s.URL, s.Client()).Append(t.Context(), rail.RecordClaims, []byte(`{}`))
+			is.Equal(rail.KindOf(err), rail.KindPlatformUnavailable)
+		})
+	}
+}
