service: a connection tells an answer from the copy of another

What callers saw: an idempotent call was answered with an earlier answer, or refused as not run although it ran, where the service sent a copy of that answer or refusal on the kept connection after the next request. A load report could be such a copy too.

Cause: net/http takes the next answer on a connection for that of the request, and closes a connection for an unsolicited answer only if that comes while it is idle. The client did not read the X-Request-Id that services may repeat.

Change: package httpconn, an http.RoundTripper over connections of net/http (Transport.NewClientConn). An answer with another id is a failure and closes its connection; a connection carries an id once, at most 1,000 of them; it is kept only while the answers repeat the ids, and an answer without one on a kept connection is a failure. Load reports get an id. Services that do not repeat ids (older builds) get a new connection for each call. Orders go the same way, on connections of their own as before. A GET or HEAD without a body is still repeated once if a kept connection fails under it.

--- a/service/client.go
+++ b/service/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/httpconn"
 )
 
 const (
@@ -42,7 +43,7 @@
 func newHTTP(s Settings, unpooled bool) *http.Client {
 	dialer := &net.Dialer{Timeout: s.dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpconn.New(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: s.maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
@@ -50,7 +51,7 @@
 			// The transport retries a request by itself only on a reused connection.
 			DisableKeepAlives:      unpooled,
 			MaxResponseHeaderBytes: rail.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -63,6 +63,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if id := r.Header.Get(headerRequestID); id != "" {
+		w.Header().Set(headerRequestID, id)
+	}
 	s.echo.ServeHTTP(w, r)
 }
 
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -112,3 +112,20 @@
 	is.Equal(call(s, http.MethodPost, "/orders/7", "a", truncated).status, http.StatusBadRequest)
 	is.Equal(runs(s, "id=a"), "{\"runs\":0}\n")
 }
+
+// Clients share connections only with services that repeat the ids of requests, on refusals and load reports too.
+func TestAnswersRepeatTheRequestID(t *testing.T) {
+	for path, s := range map[string]*service.Server{"/tins": service.New(service.Settings{}), "/load": service.New(service.Settings{})} {
+		for _, leaving := range []bool{false, true} {
+			is := is.New(t)
+			if leaving {
+				s.Leave()
+			}
+			r := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+			r.Header.Set("X-Request-Id", "r1")
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, r)
+			is.Equal(w.Header().Values("X-Request-Id"), []string{"r1"})
+		}
+	}
+}
