engine: a connection tells an answer from the copy of another

What was seen: a stream got the tokens of another stream, or counted as refused because the engine was full, an order of a version counted as carried out although it was refused, and a load report was an earlier one, where the engine sent a copy of an earlier answer on the kept connection after the next request.

Cause: as in package service: net/http takes the next answer on a connection for that of the request. Answers of engines had no id at all.

Change: the client calls engines by package httpconn, which gives each call an X-Request-Id of its own. Engines that do not (older builds) get a new connection for each call.

TestConnectionIsReused expected one connection for five streams without ids in the answers, which is no longer allowed: it now expects one where they are repeated, and five where not. The fake engine of the other tests repeats them.

--- a/engine/client.go
+++ b/engine/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/httpconn"
 )
 
 // Client calls the model engines.
@@ -28,16 +29,19 @@
 // New returns a client with a connection pool of its own.
 func New(s Settings) *Client {
 	dialer := &net.Dialer{Timeout: s.dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{settings: s, http: &http.Client{Transport: newTransport(s, dialer.DialContext), CheckRedirect: noRedirect}}
+}
+
+func newTransport(s Settings, dial func(ctx context.Context, network, address string) (net.Conn, error)) *httpconn.Transport {
+	return httpconn.New(&http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: s.maxIdlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: rail.MaxHeadBytes,
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{settings: s, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	})
 }
 
 // Close closes the idle connections.
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -31,13 +31,14 @@
 	body    atomic.Value
 }
 
-// newFakeEngine starts an engine that answers each request by the function.
+// newFakeEngine starts an engine that answers each request by the function and repeats its id.
 func newFakeEngine(t *testing.T, stream http.HandlerFunc) *fakeEngine {
 	f := &fakeEngine{}
 	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.streams.Add(1)
 		b, _ := io.ReadAll(r.Body)
 		f.body.Store(string(b))
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		stream(w, r)
 	}))
 	t.Cleanup(f.Close)
@@ -201,20 +202,28 @@
 	is.Equal(f.streams.Load(), int64(2))
 }
 
+// Streams share a connection only where the answers repeat the ids, which tells them apart from copies of others.
 func TestConnectionIsReused(t *testing.T) {
-	is := is.New(t)
-	addresses := map[string]bool{}
-	f := newFakeEngine(t, func(w http.ResponseWriter, r *http.Request) {
-		addresses[r.RemoteAddr] = true
-		write(lastTwoTokens+endEvent)(w, r)
-		_ = http.NewResponseController(w).Flush()
-	})
-	c := newClient(t)
-	for range 5 {
-		_, _, err := runStream(t.Context(), c, f.upstream())
-		is.NoErr(err)
+	for name, want := range map[string]int{"X-Request-Id": 1, "none": 5} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addresses := map[string]bool{}
+			f := newFakeEngine(t, func(w http.ResponseWriter, r *http.Request) {
+				addresses[r.RemoteAddr] = true
+				if name == "none" {
+					w.Header().Del("X-Request-Id")
+				}
+				write(lastTwoTokens+endEvent)(w, r)
+				_ = http.NewResponseController(w).Flush()
+			})
+			c := newClient(t)
+			for range 5 {
+				_, _, err := runStream(t.Context(), c, f.upstream())
+				is.NoErr(err)
+			}
+			is.Equal(len(addresses), want)
+		})
 	}
-	is.Equal(len(addresses), 1)
 }
 
 func TestCancelledStreamDisconnectsFromTheEngine(t *testing.T) {
--- a/engine/export_test.go
+++ b/engine/export_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 
 	"dandelionrail.org/rail"
 )
@@ -17,5 +16,5 @@
 
 // SetDialer replaces the function that opens the client's connections.
 func (c *Client) SetDialer(dial func(context.Context, string, string) (net.Conn, error)) {
-	c.http.Transport.(*http.Transport).DialContext = dial
+	c.http.Transport = newTransport(c.settings, dial)
 }
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -194,6 +194,9 @@
 	t.mu.Unlock()
 	for _, list := range idle {
 		for _, c := range list {
+			if c.idleTimer != nil {
+				c.idleTimer.Stop()
+			}
 			c.close()
 		}
 	}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -217,3 +217,17 @@
 		is.Equal(stream(e, streamRequest("s", 2, 0)).took.Round(time.Second), 2*time.Second)
 	})
 }
+
+// Clients share connections only with engines that repeat the ids of requests, on refusals too.
+func TestAnswersRepeatTheRequestID(t *testing.T) {
+	for _, path := range []string{"/load", "/cacheEvents", "/unknown"} {
+		is := is.New(t)
+		s := engine.New(engine.Settings{Model: "tin-writer", Version: "v1"})
+		r := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+		r.Header.Set("X-Request-Id", "r1")
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		s.Close()
+		is.Equal(w.Header().Values("X-Request-Id"), []string{"r1"})
+	}
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -19,6 +19,7 @@
 	defaultLoadLag                = 200 * time.Millisecond
 	defaultCacheEventLag          = 300 * time.Millisecond
 	maxBodyBytes                  = 4 << 20
+	headerRequestID               = "X-Request-Id"
 )
 
 // Settings configures the engine; zero values stand for the defaults.
@@ -108,6 +109,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if id := r.Header.Get(headerRequestID); id != "" {
+		w.Header().Set(headerRequestID, id)
+	}
 	s.echo.ServeHTTP(w, r)
 }
 
