outside: a connection tells an answer from the copy of another

What was seen: an append, a read of the log, a list or a start of an instance counted the copy of an earlier answer as its own, where the platform sent it on the kept connection after the next request. The answer to an append reads as an empty read of the log from offset 0, by which a reader that has just started takes the log for read completely (by reading of order/log.go; not run to a second run of an order).

Cause: as in packages service and engine.

Change: the transport for calls to the platform is that of package httpconn. A platform that does not (an older build) gets a new connection for each call.

--- a/outside/client.go
+++ b/outside/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/httpconn"
 )
 
 const (
@@ -36,9 +37,10 @@
 	_ rail.Cloud        = (*Client)(nil)
 )
 
-// Transport returns a transport for calls to the platform that bounds what it reads of a response's head.
-func Transport() *http.Transport {
-	return &http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: rail.MaxHeadBytes}
+// Transport returns a transport for calls to the platform that bounds what it reads of a response's head, and that tells the
+// response of a call from the copy of another.
+func Transport() *httpconn.Transport {
+	return httpconn.New(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: rail.MaxHeadBytes})
 }
 
 // New returns a client of the platform at the base URL.
--- a/outside/doc.go
+++ b/outside/doc.go
@@ -5,5 +5,6 @@
 // Each call has a timeout. A call that exceeds it closes the idle connections
 // of the pool, since an established connection can stay dead while new ones
 // work. An append whose response is lost may have taken effect; the client never
-// retries it by itself.
+// retries it by itself. With Transport, an answer that is not known to be that of the
+// call is an error (package httpconn).
 package outside
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -184,3 +184,15 @@
 		is.Equal(time.Since(start), 2*time.Second)
 	})
 }
+
+// Clients share connections only with a platform that repeats the ids of requests, on refusals too.
+func TestAnswersRepeatTheRequestID(t *testing.T) {
+	for _, path := range []string{"/instances", "/log/records?from=0", "/unknown"} {
+		is := is.New(t)
+		r := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+		r.Header.Set("X-Request-Id", "r1")
+		w := httptest.NewRecorder()
+		platform.New(platform.Settings{}).ServeHTTP(w, r)
+		is.Equal(w.Header().Values("X-Request-Id"), []string{"r1"})
+	}
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -16,6 +16,7 @@
 	defaultWeightsPerSecond  = 2
 	defaultMaxWeightsWaiting = 8
 	maxBodyBytes             = 4 << 20
+	headerRequestID          = "X-Request-Id"
 )
 
 // Settings configures the platform; zero values stand for the defaults.
@@ -86,6 +87,9 @@
 // ServeHTTP implements http.Handler.
 func (p *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if id := r.Header.Get(headerRequestID); id != "" {
+		w.Header().Set(headerRequestID, id)
+	}
 	p.echo.ServeHTTP(w, r)
 }
 
