soak: copies of refusals, and addresses that are listed anew

Nothing injected a second answer of an upstream that refuses a request, so that orders that ran twice because of one were not found.

Change: in the new repeated scenario upstreams send refusals twice (behind the first one, on the idle connection, before the next answer, or before that to the same id), are listed anew under other ids or with later starts while they serve on, and callers send ids again that got 503. A header names the attempt of the caller, so that each attempt is checked by itself as before: one run at most, none if it was refused. Times that an upstream named are checked after it was listed anew only if the gateway must know its newest entry: another instance is not bound by them.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -15,8 +15,10 @@
 // request is one request of a caller, and its result.
 type request struct {
 	id, method, path, body, team, key string
-	tokens                            int64
-	eventCount                        int
+	// attempt tells the attempts of a caller that sends an id again from each other.
+	attempt    string
+	tokens     int64
+	eventCount int
 	// parts are the parts of the prompt before its own; poisonous reports whether upstreams crash under one of them.
 	parts     string
 	poisonous bool
@@ -34,6 +36,9 @@
 	steady         bool // It was sent whether earlier ones were answered or not.
 }
 
+// attemptID returns the id under which the attempt is recorded.
+func (q *request) attemptID() string { return q.id + q.attempt }
+
 func (q *request) service() string {
 	if q.eventCount > 0 {
 		return "models"
@@ -92,6 +97,9 @@
 	r.GetBody = nil // Keeps the client from retrying by itself.
 	r.Host = "shop.example"
 	r.Header.Set("X-Request-Id", q.id)
+	if q.attempt != "" {
+		r.Header.Set(attemptHeader, q.attempt)
+	}
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.timeout.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Token "+q.key)
 	r.Header.Set("X-Tenant", "somebody") // The gateway must replace it by the team of the key.
--- a/soak/deadline_test.go
+++ b/soak/deadline_test.go
@@ -16,7 +16,7 @@
 
 // deadlines records the deadlines that upstreams were given; it is guarded by the recorder's mutex.
 type deadlines struct {
-	first         map[string]givenDeadline // By request id.
+	first         map[string]givenDeadline // By the id of the attempt.
 	repeats, late int
 }
 
@@ -35,9 +35,9 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first, repeated := r.deadlines.first[q.id]
+	first, repeated := r.deadlines.first[q.attemptID()]
 	if !repeated {
-		r.deadlines.first[q.id] = givenDeadline{now, now.Add(forwarded)}
+		r.deadlines.first[q.attemptID()] = givenDeadline{now, now.Add(forwarded)}
 		return
 	}
 	if !undisturbed || now.Sub(first.readAt) <= deadlineSlack {
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -156,6 +156,8 @@
 		all = append(all, partitionedFaults...)
 	case silent:
 		all = append(append([]fault(nil), faults...), slices.Repeat(silentFaults, 4)...)
+	case repeated:
+		all = append(append([]fault(nil), faults...), slices.Repeat(repeatedFaults, 6)...)
 	case poisoned:
 		all = append(append([]fault(nil), faults...), poisonedFaults...)
 	}
--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -80,7 +80,7 @@
 		u.refusals[q.gateway] = r
 	}
 	d.recorder.mu.Unlock()
-	if named && r.arrivals == maxDuringWait+1 && d.undisturbedSince(q.gateway, r.at) && u.proxy.undisturbedFor(refusalWait+time.Second) && u.proxy.uncutFor(refusalWait+time.Second) {
+	if named && r.arrivals == maxDuringWait+1 && u.knownTo(q.gateway) && d.undisturbedSince(q.gateway, r.at) && u.proxy.undisturbedFor(refusalWait+time.Second) && u.proxy.uncutFor(refusalWait+time.Second) {
 		d.recorder.recordViolation("BUDGET: %s got more than %d requests from %s in the time that it had named", u.id, maxDuringWait, q.gateway)
 	}
 }
--- a/soak/promise_test.go
+++ b/soak/promise_test.go
@@ -34,7 +34,7 @@
 }
 
 func (d *deployment) checkRequest(q *request) {
-	runs := d.recorder.runs[q.id]
+	runs := d.recorder.runs[q.attemptID()]
 	if q.atMostOnce() && len(runs) > 1 {
 		d.recorder.recordViolation("TWICE: %s %s ran %d times", q.method, q.path, len(runs))
 	}
--- /dev/null
+++ b/soak/repeat_test.go
@@ -0,0 +1,210 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionrail.org/rail/group"
+)
+
+// The faults of the repeated scenario can be switched one by one; seeds keep their other faults.
+var copies = flag.Bool("soak.copies", true, "in the repeated and mixed scenarios, upstreams send copies of refusals")
+
+const (
+	// copyPercent and mixedCopyPercent are the share of the refusals that are sent twice, in the repeated and the mixed scenario.
+	copyPercent, mixedCopyPercent = 70, 20
+	// resendPercent is the share of the requests that callers send again with the same id after a 503; only those that run once at most.
+	resendPercent = 70
+	// relistInterval is the longest time between two entries of an upstream that is listed anew.
+	relistInterval = 300 * time.Millisecond
+	// attemptHeader tells upstreams which attempt of a caller a request with an id belongs to.
+	attemptHeader = "X-Caller-Attempt"
+)
+
+// repetition is when an upstream sends a refusal once more.
+type repetition int
+
+const (
+	once         repetition = iota
+	atOnce                  // Right behind the first one.
+	whileIdle               // A few milliseconds later, unless it answers another request by then.
+	beforeAnswer            // When the next request has been read.
+	beforeSameID            // When a request with the same id has been read.
+)
+
+// repeatingConn is a connection of an upstream, on which it can send a refusal twice.
+type repeatingConn struct {
+	*net.TCPConn
+
+	mu     sync.Mutex
+	writes int
+	// how and id are those of the refusal that is written next; group runs what is written later.
+	how   repetition
+	id    string
+	group *group.Group
+	// next is the copy that comes before the next answer, byID are those that come before the answers to their ids.
+	next []byte
+	byID map[string][]byte
+}
+
+type connKey struct{}
+
+// repeatingListener accepts connections on which refusals can be repeated.
+type repeatingListener struct{ net.Listener }
+
+func (l repeatingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &repeatingConn{TCPConn: c.(*net.TCPConn), byID: map[string][]byte{}}, nil
+}
+
+// Write writes an answer; a refusal for which that was chosen is written twice, or kept.
+func (c *repeatingConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+	n, err := c.TCPConn.Write(b)
+	refusal, writes := slices.Clone(b), c.writes
+	switch c.how {
+	case atOnce:
+		_, _ = c.TCPConn.Write(refusal) // The gateway may have disconnected.
+	case whileIdle:
+		c.group.Go(func(context.Context) {
+			time.Sleep(time.Duration(rand.IntN(8000)) * time.Microsecond)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.writes == writes {
+				_, _ = c.TCPConn.Write(refusal)
+			}
+		})
+	case beforeAnswer:
+		c.next = refusal
+	case beforeSameID:
+		c.byID[c.id] = refusal
+	}
+	c.how = once
+	return n, err
+}
+
+// sendCopies sends the copies that are due when a request has been read.
+func sendCopies(r *http.Request) {
+	c := r.Context().Value(connKey{}).(*repeatingConn)
+	id := r.Header.Get("X-Request-Id")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.TCPConn.Write(slices.Concat(c.next, c.byID[id])) // The gateway may have disconnected.
+	c.next = nil
+	delete(c.byID, id)
+}
+
+// repeatRefusal chooses whether the refusal that follows is sent twice, and when.
+func (u *upstream) repeatRefusal(r *http.Request) {
+	percent := map[scenario]int{repeated: copyPercent, mixed: mixedCopyPercent}[u.deployment.scenario]
+	if !*copies || rand.IntN(100) >= percent {
+		return
+	}
+	c := r.Context().Value(connKey{}).(*repeatingConn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.how, c.id, c.group = []repetition{atOnce, whileIdle, beforeAnswer, beforeSameID, beforeSameID}[rand.IntN(5)], r.Header.Get("X-Request-Id"), u.deployment.group
+}
+
+// repeatedFaults come in addition in the repeated scenario.
+var repeatedFaults = []fault{
+	{"service is full", false, func(d *deployment, f *faultParams) {
+		d.mu.Lock()
+		same := slices.Clone(d.upstreams)
+		d.mu.Unlock()
+		same = slices.DeleteFunc(same, func(u *upstream) bool { return u.service != d.upstream(f).service })
+		setFull := func(percent int32) {
+			for _, u := range same {
+				u.fullPercent.Store(percent)
+			}
+		}
+		setFull(f.percent)
+		time.Sleep(f.duration)
+		setFull(0)
+	}},
+	{"upstream is listed under other ids", false, func(d *deployment, f *faultParams) { d.relist(f, (*upstream).replaceEntry) }},
+	{"upstream is listed with later starts", false, func(d *deployment, f *faultParams) {
+		d.relist(f, func(u *upstream, _ time.Duration) {
+			u.starts.Add(1)
+			u.registerAgain(d.store)
+		})
+	}},
+}
+
+// relist lists an upstream that serves on anew, several times.
+func (d *deployment) relist(f *faultParams, list func(u *upstream, beside time.Duration)) {
+	u, r := d.upstream(f), rand.New(rand.NewPCG(uint64(f.target), uint64(f.percent)))
+	for end := time.Now().Add(f.duration); time.Now().Before(end); {
+		d.mu.Lock()
+		draining := u.draining
+		d.mu.Unlock()
+		if draining || !*copies {
+			return
+		}
+		list(u, time.Duration(r.Int64N(int64(relistInterval)))-relistInterval/3)
+		u.recorder.mu.Lock()
+		u.relistedAt = time.Now()
+		u.recorder.mu.Unlock()
+		time.Sleep(time.Duration(r.Int64N(int64(relistInterval))))
+	}
+}
+
+// replaceEntry lists the upstream under another id, and removes its entry with the old one so much later, or earlier if that is negative.
+func (u *upstream) replaceEntry(beside time.Duration) {
+	remove := func() { u.deployment.store.Put("keyed.servers", u.instanceID(u.relisted.Load()-1), nil) }
+	u.registering.Lock()
+	defer u.registering.Unlock()
+	u.relisted.Add(1)
+	if beside < 0 {
+		remove()
+		time.Sleep(-beside)
+	}
+	u.writeState(u.deployment.store)
+	if beside >= 0 {
+		time.Sleep(beside)
+		remove()
+	}
+}
+
+// knownTo reports whether the gateway must have known the upstream by its newest entry, if it was ever listed anew, when it got an answer
+// in the last refusalWait. What an upstream said does not bind a gateway that takes it for another one since.
+func (u *upstream) knownTo(gateway string) bool {
+	u.recorder.mu.Lock()
+	at := u.relistedAt
+	u.recorder.mu.Unlock()
+	return at.IsZero() || time.Since(at) > contactTime+refusalWait && u.deployment.inTouch(gateway)
+}
+
+// instanceID returns the id under which the upstream is listed after it was listed anew so often.
+func (u *upstream) instanceID(relisted int32) string {
+	if relisted == 0 {
+		return u.id
+	}
+	return fmt.Sprintf("%s-%d", u.id, relisted)
+}
+
+// sendAgain sends a request that was refused once more, at times through another gateway.
+func (d *deployment) sendAgain(ctx context.Context, q *request, p *process, client *http.Client, r *rand.Rand) {
+	if d.scenario != repeated || !q.atMostOnce() || q.err != nil || q.status != http.StatusServiceUnavailable || r.IntN(100) >= resendPercent {
+		return
+	}
+	if r.IntN(3) == 0 {
+		p = d.processes[r.IntN(len(d.processes))]
+	}
+	again := &request{id: q.id, attempt: q.attempt + "+", method: q.method, path: q.path, body: q.body, team: q.team, key: q.key, tokens: q.tokens, eventCount: q.eventCount, timeout: q.timeout}
+	again.sentAt = time.Now()
+	again.deadline = again.sentAt.Add(again.timeout)
+	d.exchange(ctx, again, p, client)
+}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -55,9 +55,9 @@
 	u.recorder.mu.Lock()
 	defer u.recorder.mu.Unlock()
 	x.at = time.Now()
-	before := u.recorder.runs[q.id]
-	x.stamp = u.id + "." + q.id + "." + strconv.Itoa(len(before))
-	u.recorder.runs[q.id] = append(slices.Clone(before), x)
+	before := u.recorder.runs[q.attemptID()]
+	x.stamp = u.id + "." + q.attemptID() + "." + strconv.Itoa(len(before))
+	u.recorder.runs[q.attemptID()] = append(slices.Clone(before), x)
 	u.recent = append(slices.DeleteFunc(u.recent, func(x *run) bool { return !x.endedAt.IsZero() && time.Since(x.endedAt) > runMemory }), x)
 	return x, slices.DeleteFunc(before, func(b *run) bool { return b.upstream == u })
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,6 +136,12 @@
 	}
 }
 
+func TestPromisesHoldUnderRepeatedAnswers(t *testing.T) {
+	for i := range *seedCount {
+		runScenario(t, *firstSeed+uint64(i), repeated, *length)
+	}
+}
+
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, f := range fixedFailures {
 		runScenario(t, f.seed, f.scenario, failedLength)
@@ -163,13 +169,15 @@
 	// As planned, with a domain that is evacuated for a time, and new upstreams that are cold at first.
 	evacuated scenario = "evacuated"
 	// As mixed, with engines that fall silent or pause while streams run, preempt streams, or see the ends of connections late.
-	silent  scenario = "silent"
-	planned scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
+	silent scenario = "silent"
+	// As mixed, with upstreams that send refusals twice and are listed anew, and callers that send an id again.
+	repeated scenario = "repeated"
+	planned  scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
 )
 
 // test returns the name of the test whose seeds the flags choose.
 func (s scenario) test() string {
-	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", silent: "TestStreamsRunAtOneUpstreamAtATime", evacuated: "TestPromisesHoldUnderEvacuation", planned: "TestPlannedWorkCutsNothing"}[s]
+	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", repeated: "TestPromisesHoldUnderRepeatedAnswers", silent: "TestStreamsRunAtOneUpstreamAtATime", evacuated: "TestPromisesHoldUnderEvacuation", planned: "TestPlannedWorkCutsNothing"}[s]
 }
 
 // deployment is the system under test, with its store, upstreams and callers.
@@ -303,14 +311,17 @@
 	d.version++
 	version := d.version
 	type object map[string]any
-	timeout := 3 * time.Second
+	timeout, attempts := 3*time.Second, 2
 	if d.scenario == silent {
 		timeout = streamTimeout
 	}
+	if d.scenario == repeated {
+		attempts = 3 // So that a request that is refused at both entries of an upstream can go on.
+	}
 	route := func(path, kind, service string, attempts int, resume bool) object {
 		return object{"Name": "r" + strings.ReplaceAll(path, "/", "-"), "Host": "shop.example", "PathPrefix": path, "Kind": kind, "TimeoutMs": int(timeout.Milliseconds()) + version, "GoalMs": 500, "Service": service, "Attempts": attempts, "Sticky": service == "models", "CanResume": resume}
 	}
-	routes := []object{route("/draft/", "streaming", "models", 2, true), route("/chat/", "streaming", "models", 1, false), route("/order/", "non_idempotent", "desk", 2, false), route("/lookup/", "idempotent", "desk", 2, false)}
+	routes := []object{route("/draft/", "streaming", "models", 2, true), route("/chat/", "streaming", "models", 1, false), route("/order/", "non_idempotent", "desk", attempts, false), route("/lookup/", "idempotent", "desk", 2, false)}
 	if d.scenario == restored {
 		routes = append(routes, route(fmt.Sprintf("/added-%d/", version), "idempotent", "desk", 2, false))
 	}
@@ -367,7 +378,6 @@
 				team = "printers"
 			}
 			q := newRequest(r, number, team)
-			q.gateway = p.name
 			if d.scenario == crashing {
 				q.makeCrashing(r)
 			}
@@ -377,13 +387,9 @@
 			if d.scenario == silent {
 				q.lengthen()
 			}
-			d.recorder.mu.Lock()
-			d.recorder.sent[q.id] = q
-			d.recorder.mu.Unlock()
-			q.send(context.WithoutCancel(ctx), client, p.frontAddress)
-			d.noteAnswer(q)
+			d.exchange(ctx, q, p, client)
+			d.sendAgain(ctx, q, p, client, r)
 			d.mu.Lock()
-			d.requests = append(d.requests, q)
 			pause := time.Duration(r.IntN(60)) * time.Millisecond
 			if d.overload && team == "printers" {
 				pause = 5 * time.Millisecond
@@ -405,11 +411,24 @@
 	}
 }
 
+// exchange sends the request to the gateway and records it with its result.
+func (d *deployment) exchange(ctx context.Context, q *request, p *process, client *http.Client) {
+	q.gateway = p.name
+	d.recorder.mu.Lock()
+	d.recorder.sent[q.attemptID()] = q
+	d.recorder.mu.Unlock()
+	q.send(context.WithoutCancel(ctx), client, p.frontAddress)
+	d.noteAnswer(q)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requests = append(d.requests, q)
+}
+
 // reached reports whether an upstream got the request.
 func (d *deployment) reached(q *request) bool {
 	d.recorder.mu.Lock()
 	defer d.recorder.mu.Unlock()
-	return len(d.recorder.runs[q.id]) > 0
+	return len(d.recorder.runs[q.attemptID()]) > 0
 }
 
 // logSummary logs the number of requests by result.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -67,13 +67,17 @@
 	// starts counts the starts of the upstream's process, limit is the request limit that its answers name, in hundredths of a
 	// request a second, zero for none.
 	starts, limit atomic.Int32
-	arrivals      []limitedArrival // Guarded by the recorder's mutex.
-	recent        []*run           // Those in progress and those that ended lately; guarded by the recorder's mutex.
-	silence       silence
+	// relisted counts how often it was listed under another id.
+	relisted atomic.Int32
+	arrivals []limitedArrival // Guarded by the recorder's mutex.
+	recent   []*run           // Those in progress and those that ended lately; guarded by the recorder's mutex.
+	silence  silence
 
 	registering sync.Mutex
 	// refusals holds the last refusal that named a time, by gateway; it is guarded by the recorder's mutex.
 	refusals map[string]refusal
+	// relistedAt is when it was last listed anew; it is guarded by the recorder's mutex.
+	relistedAt time.Time
 	// coldUntil is the end of its cold period.
 	coldUntil time.Time
 	state     string // The state that it registered last.
@@ -89,8 +93,8 @@
 	if u.proxy, err = newProxy(g, listener.Addr().String()); err != nil {
 		return nil, err
 	}
-	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute}
-	g.Go(func(context.Context) { _ = u.server.Serve(listener) }) // It returns after Close.
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	g.Go(func(context.Context) { _ = u.server.Serve(repeatingListener{listener}) }) // It returns after Close.
 	g.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		_ = u.server.Close()
@@ -117,13 +121,14 @@
 }
 
 func (u *upstream) writeState(s *store.Store) {
+	id := u.instanceID(u.relisted.Load())
 	u.reports++
 	if u.state == "" {
-		s.Put("keyed.servers", u.id, nil)
+		s.Put("keyed.servers", id, nil)
 		return
 	}
 	value, _ := json.Marshal(map[string]any{"Service": u.service, "Address": u.proxy.address(), "Zone": u.zone, "State": u.state, "Slots": slots, "born": u.starts.Load(), "Seq": u.reports, "ColdLeftMs": max(0, time.Until(u.coldUntil).Milliseconds())}) // Its values can always be encoded.
-	s.Put("keyed.servers", u.id, value)
+	s.Put("keyed.servers", id, value)
 }
 
 // answerData returns the data of the event with the number, or, for zero, of an answer without events.
@@ -136,6 +141,7 @@
 	body, err := io.ReadAll(r.Body)
 	late := u.silence.readsNothing()
 	awaitEnd(u.silence.readsNothing)
+	sendCopies(r)
 	if r.URL.Path == "/-/report" {
 		u.serveReport(w)
 		return
@@ -147,12 +153,13 @@
 		panic(http.ErrAbortHandler) // It reads the end of the connection together with the request.
 	}
 	w.Header().Set("X-Request-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.id {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.instanceID(u.relisted.Load()) {
+		u.repeatRefusal(r)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	u.recorder.mu.Lock()
-	sent := u.recorder.sent[id]
+	sent := u.recorder.sent[id+r.Header.Get(attemptHeader)]
 	u.recorder.arrivals[u.service] = append(u.recorder.arrivals[u.service], time.Now())
 	limit := float64(u.limit.Load()) / 100
 	if sent != nil {
@@ -172,6 +179,11 @@
 	if int(u.running.Add(1)) > slots || rand.IntN(100) < int(u.fullPercent.Load()) {
 		u.running.Add(-1)
 		w.Header().Set("X-Not-Run", "1")
+		u.repeatRefusal(r)
+		if u.deployment.scenario == repeated && rand.IntN(3) == 0 {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		u.nameWait(w, sent)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
