httpconn: an answer that is reset during the upload is not complete

What callers saw: a part of an answer without a length, delivered as complete, if its connection was reset while the request was being written.

Cause: two goroutines use a connection, and the kernel reports a reset once. If the writer gets it, the reader gets the end of the stream, which completes an answer without a length, before net/http has closed the connection for the failed write.

Change: the connections report the end of the stream as unexpected if a write is in progress or has failed. Weighed: a server that answers without a length and closes properly before it has read the request counts as failed, too; it can't be told from a reset.

--- a/httpconn/doc.go
+++ b/httpconn/doc.go
@@ -8,6 +8,9 @@
 // its request, and no earlier answer on that connection had it. An answer with the
 // id of another request is an error on every connection.
 //
+// An answer without a length ends with its connection. If that is reset, or ends
+// while the request is still being written, the answer is not complete.
+//
 // Not guaranteed: an answer without an id that is sent on a new connection before
 // its request is taken for that request's answer. The transport repeats a request by
 // itself only if it is a GET or HEAD without a body on a connection that was used before.
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -46,6 +46,8 @@
 	if base.DisableKeepAlives {
 		maxIdle = 0
 	}
+	base = base.Clone()
+	base.DialContext = withResets(base.DialContext)
 	return &Transport{base: base, maxIdle: maxIdle, idPrefix: rand.Text() + "-", idle: map[string][]*connection{}}
 }
 
