service: test copies that come during the upload of the next request

The copy of an answer or a refusal, with its own id, another one or none, comes on a kept connection while the body of 3 MiB of the next call is being written.

--- a/service/copy_test.go
+++ b/service/copy_test.go
@@ -32,8 +32,17 @@
 	conn   net.Conn
 }
 
-// startScripted answers each request by the function, until that returns false.
+// startScripted answers each request, once it was read completely, by the function, until that returns false.
 func startScripted(t testing.TB, answer func(e exchange) bool) *scripted {
+	return startUploads(t, func(e exchange, body io.Reader) {
+		if _, err := io.Copy(io.Discard, body); err != nil || !answer(e) {
+			_ = e.conn.Close()
+		}
+	})
+}
+
+// startUploads answers each request by the function, which reads its body.
+func startUploads(t testing.TB, answer func(e exchange, body io.Reader)) *scripted {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -47,12 +56,7 @@
 			if err != nil {
 				return
 			}
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
-				return
-			}
-			if !answer(exchange{int(s.requests.Add(1)), r.Header.Get("X-Request-Id"), conn}) {
-				return
-			}
+			answer(exchange{int(s.requests.Add(1)), r.Header.Get("X-Request-Id"), conn}, r.Body)
 		}
 	}
 	g.Go(func(ctx context.Context) {
@@ -151,3 +155,40 @@
 		}
 	}
 }
+
+// Guards against a copy that comes while the body of the next request is still being written.
+func TestCopyDuringTheUploadIsNotDelivered(t *testing.T) {
+	for kind, first := range map[string]func(int, string) string{"answer": answerText, "refusal": refusalText} {
+		for copied, copyID := range ids {
+			for class, key := range map[string]rail.Key{"order": testKey, "idempotent": ""} {
+				t.Run(fmt.Sprintf("%s, %s, %s", class, kind, copied), func(t *testing.T) {
+					is := is.New(t)
+					var firstConn net.Conn
+					s := startUploads(t, func(e exchange, body io.Reader) {
+						own := ids["own id"](e.id)
+						if e.number > 1 && e.conn == firstConn {
+							_, _ = io.WriteString(e.conn, first(1, copyID("r1")))
+						}
+						_, _ = io.Copy(io.Discard, body)
+						text := answerText(e.number, own)
+						if e.number == 1 {
+							firstConn, text = e.conn, first(1, own)
+						}
+						_, _ = io.WriteString(e.conn, text)
+					})
+					c := service.New(service.Defaults())
+					defer c.Close()
+					_, _ = c.Call(context.Background(), dispatchOf(s.address, "r1", key))
+					r := rail.NewRequest("r2", "counter", "engraving", time.Time{}).WithCall("POST", "/tins", make([]byte, 3<<20)).WithKey(key)
+					reply, err := c.Call(context.Background(), rail.NewDispatch(r, 1, rail.NewInstance("s1", "works-hall", rail.RoleService, s.address), 0))
+					if class == "order" {
+						is.NoErr(err)
+						is.Equal(string(reply.Body()), "run 2")
+						return
+					}
+					is.Equal(rail.KindOf(err), rail.KindUpstreamFailed)
+				})
+			}
+		}
+	}
+}
