service: a load report needs status 200

Cause: the status of a load report was not read, so that the answer of a failure, or one whose status is none, counted as the report of an upstream that is idle if its body was JSON without the fields.

Change: a load report with another status than 200 is upstreamFailed.

--- a/service/client.go
+++ b/service/client.go
@@ -164,6 +164,9 @@
 		return rail.Load{}, err
 	}
 	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return rail.Load{}, rail.NewError(rail.KindUpstreamFailed, "load report with status %d", response.StatusCode)
+	}
 	var b loadBody
 	if err := json.NewDecoder(io.LimitReader(response.Body, c.settings.maxBodyBytes)).Decode(&b); err != nil {
 		return rail.Load{}, rail.WrapError(err, rail.KindUpstreamFailed, "load report")
--- a/service/load_test.go
+++ b/service/load_test.go
@@ -46,3 +46,17 @@
 		})
 	}
 }
+
+// Guards against the answer of a failure, or one whose status is none, that counts as a load report.
+func TestLoadReportOfAFailureIsNone(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "204", "404", "500", "503", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			u := startUpstream(t, write("HTTP/1.1 "+status+" No\r\nContent-Length: 13\r\n\r\n{\"running\":3}"))
+			c := service.New(service.Defaults())
+			defer c.Close()
+			_, err := c.Load(context.Background(), rail.NewInstance("s1", "works-hall", rail.RoleService, u.listener.Addr().String()))
+			is.Equal(rail.KindOf(err), rail.KindUpstreamFailed)
+		})
+	}
+}
