httpconn: a test connection that answers once the request has begun

TestAnswerThatIsResetDuringTheUploadIsNotComplete hung in one of five runs of the package under the race detector: its connection could answer before the request, which net/http drops with the connection, and the writer then waited without end. The connection now answers after the first write, and its end releases both sides.

--- a/httpconn/reset_test.go
+++ b/httpconn/reset_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +18,10 @@
 // reader gets the answer that came before, and then the end of the stream.
 type resetOnce struct {
 	answer      io.Reader
+	begun       chan struct{} // closed once a part of the request was written
+	closed      chan struct{}
+	beginning   sync.Once
+	closing     sync.Once
 	read        chan struct{} // closed once the answer was read
 	reset       chan struct{} // closed once the kernel has reported the reset to the writer
 	ended       chan struct{} // closed once the reader gets the end
@@ -25,12 +30,18 @@
 }
 
 func (c *resetOnce) Read(p []byte) (int, error) {
+	select {
+	case <-c.ended:
+		return 0, io.EOF
+	default:
+	}
+	c.await(c.begun)
 	n, err := c.answer.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
 	close(c.read)
-	<-c.reset
+	c.await(c.reset)
 	if c.writerFirst {
 		time.Sleep(time.Millisecond)
 	}
@@ -40,18 +51,31 @@
 
 func (c *resetOnce) Write(p []byte) (int, error) {
 	if c.fits -= len(p); c.fits >= 0 {
+		c.beginning.Do(func() { close(c.begun) })
 		return len(p), nil
 	}
-	<-c.read
+	c.await(c.read)
 	close(c.reset)
 	if !c.writerFirst {
-		<-c.ended
+		c.await(c.ended)
 		time.Sleep(time.Millisecond)
 	}
 	return 0, syscall.ECONNRESET
 }
 
-func (c *resetOnce) Close() error                     { return nil }
+// await waits for the channel or for the connection to be closed.
+func (c *resetOnce) await(done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-c.closed:
+	}
+}
+
+func (c *resetOnce) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return nil
+}
+
 func (c *resetOnce) LocalAddr() net.Addr              { return &net.TCPAddr{} }
 func (c *resetOnce) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
 func (c *resetOnce) SetDeadline(time.Time) error      { return nil }
@@ -67,7 +91,8 @@
 			for range 20 {
 				conn := &resetOnce{
 					answer: strings.NewReader("HTTP/1.1 200 OK\r\n\r\npart of an ans"),
-					read:   make(chan struct{}), reset: make(chan struct{}), ended: make(chan struct{}), writerFirst: writerFirst, fits: 16 << 10,
+					begun:  make(chan struct{}), closed: make(chan struct{}),
+					read: make(chan struct{}), reset: make(chan struct{}), ended: make(chan struct{}), writerFirst: writerFirst, fits: 16 << 10,
 				}
 				c := newClient(t, &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
 				r, err := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader(strings.Repeat("b", 64<<10)))
