--- a/soak/repeat_test.go
+++ b/soak/repeat_test.go
@@ -20,8 +20,8 @@
 // The faults of the repeated scenario can be switched one by one; seeds keep their other faults.
 var (
 	copies       = flag.Bool("soak.copies", true, "in the repeated and mixed scenarios, upstreams send copies of refusals")
-	earlyAnswers = flag.Bool("soak.early", false, "in the repeated scenario, upstreams answer long uploads early and reset the connection")
-	badStatuses  = flag.Bool("soak.status", false, "in the repeated scenario, upstreams answer with a status that is none")
+	earlyAnswers = flag.Bool("soak.early", true, "in the repeated scenario, upstreams answer long uploads early and reset the connection")
+	badStatuses  = flag.Bool("soak.status", true, "in the repeated scenario, upstreams answer with a status that is none")
 )
 
 const (
