--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -67,7 +67,7 @@
 	c, err := t.dial(r)
 	if err != nil {
 		if r.Body != nil {
-			_ = r.Body.Close()
+			_ = r.Body.Close() // The error of the dial is returned.
 		}
 		return nil, err
 	}
@@ -111,7 +111,7 @@
 	repeated := response.Header.Values(headerRequestID)
 	if slices.ContainsFunc(repeated, func(got string) bool { return got != id }) || reused && len(repeated) == 0 {
 		c.close()
-		_ = response.Body.Close()
+		_ = response.Body.Close() // The answer is not delivered.
 		return nil, errors.Wrapf(ErrForeignAnswer, "status %d with the ids %q", response.StatusCode, repeated)
 	}
 	mayKeep := len(repeated) > 0 && !response.Close && len(c.ids) < maxRequestsPerConnection
@@ -212,7 +212,7 @@
 	idleTimer *time.Timer
 }
 
-func (c *connection) close() { _ = c.http.Close() }
+func (c *connection) close() { _ = c.http.Close() } // It carries no further request.
 
 // body calls release once, when the body was read to its end or is closed.
 type body struct {
