quarantine: try out requests with none of the other suspects of the crashes

Cause: the shared parts have all crashes and each poisonous part only its own, so the shared parts were blocked and explained all crashes. Sound requests hold all shared parts, so none was sent that could clear them.

Evidence: event 1235 names the shared parts; no attempt of a sound request follows.

Change: a blocked set names, for each crash, the other suspects that were in it and in another one. A request with none of them is tried out, at one gateway and one at a time, unless two crashes have no other suspect. Crashes long after the block have none, which bounds further crashes to two.

--- a/blocklist/blocklist.go
+++ b/blocklist/blocklist.go
@@ -29,6 +29,8 @@
 type Entry struct {
 	members []string
 	until   time.Time
+	// alternatives holds, for each crash, the keys of the other suspects that may be to blame for it.
+	alternatives [][]string
 }
 
 // NewEntry returns the entry with the keys of its suspects; requests with all of them are refused until the time.
@@ -36,6 +38,27 @@
 	return &Entry{members: slices.Sorted(slices.Values(members)), until: until}
 }
 
+// WithAlternatives returns the entry with the keys of the other suspects that may be to blame for each of its crashes; none may be.
+func (e *Entry) WithAlternatives(alternatives [][]string) *Entry {
+	e.alternatives = alternatives
+	return e
+}
+
+// untried reports whether the crashes may tell nothing of requests that hold all members and the keys: others may be to blame for each crash,
+// but for maxUnshared, and the request holds none of them.
+func (e *Entry) untried(holds map[string]bool) bool {
+	unexplained := 0
+	for _, others := range e.alternatives {
+		if slices.ContainsFunc(others, func(key string) bool { return holds[key] }) {
+			return false
+		}
+		if len(others) == 0 {
+			unexplained++
+		}
+	}
+	return unexplained <= maxUnshared && unexplained < len(e.alternatives)
+}
+
 // Members returns the keys of the suspects, sorted.
 func (e *Entry) Members() []string { return e.members }
 
@@ -78,14 +101,16 @@
 // Len returns the number of suspects in the entries.
 func (l *List) Len() int { return len(l.byMember) }
 
-// Check decides on a request with the keys. A request that holds only some members of an entry shows whether they are to blame, and one
-// that holds all of them whether they still are once the entry's time has passed.
+// Check decides on a request with the keys. A request that holds only some members of an entry shows whether they are to blame, as does one
+// that holds all of them, but none of the other suspects of the crashes. One that holds all of them shows whether they still are once the
+// entry's time has passed.
 func (l *List) Check(keys []string, now time.Time) Verdict {
 	if len(l.byMember) == 0 {
 		return Verdict{}
 	}
-	held := map[*Entry]int{}
+	held, holds := map[*Entry]int{}, map[string]bool{}
 	for _, key := range keys {
+		holds[key] = true
 		if e := l.byMember[key]; e != nil {
 			held[e]++
 		}
@@ -93,7 +118,7 @@
 	var v Verdict
 	for e, n := range held {
 		switch {
-		case n < len(e.members):
+		case n < len(e.members), now.Before(e.until) && e.untried(holds):
 			v.trials = append(v.trials, Trial{entry: e})
 		case now.Before(e.until):
 			v.refused, v.wait = true, max(v.wait, e.until.Sub(now))
--- a/blocklist/blocklist_test.go
+++ b/blocklist/blocklist_test.go
@@ -49,6 +49,39 @@
 	}
 }
 
+// Guards against sound requests being refused for what all crashes have in common, although each crash had another suspect.
+func TestRequestsWithNoneOfTheAlternativesAreTriedOut(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		name         string
+		alternatives [][]string // Of each crash.
+		keys         []string
+		after        time.Duration
+		refused      bool
+		trials       int
+	}{
+		{"no crash with others", [][]string{nil, nil, nil}, []string{"a", "b"}, 0, true, 0},
+		{"no alternatives known", nil, []string{"a", "b"}, 0, true, 0},
+		{"each crash with another one", [][]string{{"x"}, {"y"}, {"x"}, {"y"}}, []string{"a", "b", "c"}, 0, false, 1},
+		{"each crash with another one, which the request holds", [][]string{{"x"}, {"y"}, {"x"}, {"y"}}, []string{"a", "b", "x"}, 0, true, 0},
+		{"a crash without others", [][]string{{"x"}, nil, {"x"}}, []string{"a", "b"}, 0, false, 1},
+		{"two crashes without others", [][]string{{"x"}, nil, {"x"}, nil}, []string{"a", "b"}, 0, true, 0},
+		{"a single crash, without others", [][]string{nil}, []string{"a", "b"}, 0, true, 0},
+		{"a request with one member", [][]string{{"x"}, {"y"}}, []string{"a", "x"}, 0, false, 1},
+		{"a request with an alternative after the time", [][]string{{"x"}, {"y"}}, []string{"a", "b", "x"}, time.Minute, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New()
+			l.Add(NewEntry([]string{"a", "b"}, start.Add(time.Minute)).WithAlternatives(c.alternatives))
+			v := l.Check(c.keys, start.Add(c.after))
+			_, refused := v.Refused()
+			is.Equal(refused, c.refused)
+			is.Equal(len(v.Trials()), c.trials)
+		})
+	}
+}
+
 func TestEntriesAreListedOnce(t *testing.T) {
 	is := is.New(t)
 	l := New()
--- a/gateway/enginefleet_test.go
+++ b/gateway/enginefleet_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,7 +36,9 @@
 
 	crashes        []time.Time // Of engines that answered the poisonous part.
 	poisonArrivals []time.Time // At engines.
-	sound          []*simulatedCall
+	// crashesOf and arrivalsOf are the same for each poisonous part.
+	crashesOf, arrivalsOf map[string][]time.Time
+	sound                 []*simulatedCall
 	// coldTime is how long engines are cold after a start.
 	coldTime time.Duration
 	// withoutEvents reports whether reports of progress lack the number of events, so that gateways do not learn the engines' speeds.
@@ -120,7 +123,7 @@
 )
 
 func newEngineFleet(gateways, domains, engines int, seed uint64) *engineFleet {
-	f := &engineFleet{simulatedCells: newSimulatedCells(gateways, domains), random: rand.New(rand.NewPCG(seed, 7)), phases: map[string]time.Duration{}, engines: map[string]*simulatedEngine{}, read: map[string]int{}, held: map[*Call]*simulatedCall{}}
+	f := &engineFleet{simulatedCells: newSimulatedCells(gateways, domains), random: rand.New(rand.NewPCG(seed, 7)), phases: map[string]time.Duration{}, engines: map[string]*simulatedEngine{}, read: map[string]int{}, held: map[*Call]*simulatedCall{}, crashesOf: map[string][]time.Time{}, arrivalsOf: map[string][]time.Time{}}
 	f.ticked = func(s *State, effects []Effect) { f.answerChecks(s.settings.name, effects) }
 	f.exchanged = func(a, b *State) { // The one that has read less of the store fetches the rest from the other one.
 		next := max(f.read[a.settings.name], f.read[b.settings.name])
@@ -286,6 +289,7 @@
 		r.limited = e.limited
 		if x.poisonous {
 			f.poisonArrivals = append(f.poisonArrivals, f.now)
+			recordPoison(f.arrivalsOf, x.call, f.now)
 		}
 		f.after(f.times(r), func() { f.begin(r) })
 	}
@@ -371,6 +375,7 @@
 		f.after(time.Duration(20+f.random.IntN(80))*time.Millisecond, func() {
 			if !r.ended {
 				f.crashes = append(f.crashes, f.now)
+				recordPoison(f.crashesOf, r.call, f.now)
 				f.crash(r.engine)
 			}
 		})
@@ -497,6 +502,15 @@
 	}
 }
 
+// recordPoison records the time for the poisonous parts of the call.
+func recordPoison(times map[string][]time.Time, c *Call, at time.Time) {
+	for _, p := range c.parts {
+		if strings.HasPrefix(p.id, poisonPart) {
+			times[p.id] = append(times[p.id], at)
+		}
+	}
+}
+
 // arrivalsAfter returns how many poisonous requests arrived at engines later than the time after the fifth crash.
 func (f *engineFleet) arrivalsAfter(d time.Duration) int {
 	return countLater(f.poisonArrivals, f.crashes, 5, d)
--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -254,6 +254,64 @@
 	}
 }
 
+// alternatingPoison returns the shared parts of prompts of which the sound ones hold the parts a and b, and each poisonous one a and b with
+// one of the poisonous parts, in turn, at its place.
+func alternatingPoison(sound []string, places ...int) func(poisonous bool) []string {
+	n := 0
+	return func(poisonous bool) []string {
+		if !poisonous {
+			return sound
+		}
+		n++
+		i := n % len(places)
+		return slices.Insert([]string{"a", "b"}, places[i], poisonPart+strconv.Itoa(i))
+	}
+}
+
+// Guards against sound requests being refused for parts that all prompts under which engines crash share, although several poisonous parts
+// take turns in them.
+func TestSoundPartsStayInUseWhilePoisonousPartsTakeTurns(t *testing.T) {
+	for _, size := range engineFleetSizes {
+		for _, c := range []struct {
+			name             string
+			prompts          func(poisonous bool) []string
+			sound, poisonous float64 // Requests a second.
+			connectionEnds   bool
+		}{
+			{"at the first place", alternatingPoison([]string{"c", "a", "b"}, 0, 0), 1, 2, false},
+			{"at the second place", alternatingPoison([]string{"a", "c", "b"}, 1, 1), 1, 2, false},
+			{"at the last place", alternatingPoison([]string{"a", "b", "c"}, 2, 2), 1, 2, false},
+			{"at the first place, sound prompts without a part there", alternatingPoison([]string{"a", "b"}, 0, 0), 1, 2, false},
+			{"at two places", alternatingPoison([]string{"a", "b"}, 0, 2), 1, 2, false},
+			{"rare sound requests", alternatingPoison([]string{"c", "a", "b"}, 0, 0), 0.5, 2, false},
+			{"in quick succession", alternatingPoison([]string{"c", "a", "b"}, 0, 0), 1, 10, false},
+			{"many sound requests", alternatingPoison([]string{"c", "a", "b"}, 0, 0), 20, 2, false},
+			{"answers that end with their connections", alternatingPoison([]string{"c", "a", "b"}, 0, 0), 2, 2, true},
+		} {
+			t.Run(fmt.Sprintf("%d gateways, %s", size.gateways, c.name), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newEngineFleet(size.gateways, size.domains, size.engines, 1)
+				f.acceptForwards()
+				f.prompts, f.connectionEnds = c.prompts, c.connectionEnds
+				f.play(5*time.Second, load{sound: c.sound})
+				f.play(2*time.Second, load{}) // No answer that ends later tells the parts apart.
+				f.play(4*time.Second, load{poisonous: c.poisonous})
+				f.play(40*time.Second, load{sound: c.sound, poisonous: c.poisonous})
+				f.report(t, size.contact)
+				begun := f.begunShare(f.crashes[min(4, len(f.crashes)-1)].Add(2 * size.contact))
+				t.Logf("%.3f of the sound requests begun", begun)
+				is.True(begun >= 0.5)
+				for part, crashes := range f.crashesOf {
+					late := countLater(f.arrivalsOf[part], crashes, 5, size.contact)
+					t.Logf("%s: %d crashes, %d arrivals later than %v after the fifth", part, len(crashes), late, size.contact)
+					is.True(late <= 3)
+				}
+			})
+		}
+	}
+}
+
 // Guards against further crashes at each gateway when a part that only came together with another one comes without it.
 func TestPoisonousPartThatComesInOtherPromptsReachesFewEngines(t *testing.T) {
 	for _, size := range engineFleetSizes {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -38,6 +38,8 @@
 	outdatedAt time.Time
 	// requests is the number of suspects that are requests, blockedRequests that of the blocked ones.
 	requests, blockedRequests int
+	// comparesRequests reports whether requests are among the alternatives to blocked parts.
+	comparesRequests bool
 	// logged holds the parts and requests that were logged as blocked.
 	logged map[string]bool
 	// stored holds the suspects as in their newest records in the store.
@@ -56,8 +58,13 @@
 	// minUnspacedCrashes is the number of crashes from which a part is blocked however close together they were, if no request
 	// with it is answered within answerWait of the first answer to another one. All engines may have ended together.
 	minUnspacedCrashes = 5
-	answerWait         = 1500 * time.Millisecond
-	answerSpacing      = 100 * time.Millisecond
+	// minRepeatedCrashes is the number of crashes from which a suspect may be to blame for those of another one that has more.
+	minRepeatedCrashes = 2
+	// alternativesTime is how long after the crashes that led to a block further ones may be those of other suspects: gateways that had not
+	// heard of the block sent such requests.
+	alternativesTime = 2 * time.Second
+	answerWait       = 1500 * time.Millisecond
+	answerSpacing    = 100 * time.Millisecond
 	// answerBeginning is the time after an answer's first event in which the request may be what made its engine crash.
 	answerBeginning = 500 * time.Millisecond
 	// minBlockTime is how long a part is blocked; each further crash doubles the time up to maxBlockDoublings times.
@@ -166,7 +173,7 @@
 	before := q.blocked
 	q.blocked = blocklist.New()
 	var candidates []candidate
-	q.requests, q.blockedRequests = 0, 0
+	q.requests, q.blockedRequests, q.comparesRequests = 0, 0, false
 	for key, x := range q.suspects {
 		if x.request {
 			q.requests++
@@ -195,10 +202,14 @@
 				q.blockedRequests++
 			}
 		}
-		q.blocked.Add(blocklist.NewEntry(keys, b.until))
+		entry := blocklist.NewEntry(keys, b.until)
+		q.blocked.Add(entry)
 		if b.trialOnly {
 			continue
 		}
+		if !x.request {
+			entry.WithAlternatives(q.alternatives(x, keys, explained))
+		}
 		for _, m := range members {
 			for engine, at := range m.crashes {
 				explained[engine] = explained[engine] || m.counts(at)
@@ -245,6 +256,30 @@
 	return alike
 }
 
+// alternatives returns, for each crash of x that is not explained, the suspects besides the members that have it and another one. Crashes
+// later than alternativesTime after those that led to the block have none, which bounds the requests that are tried out.
+func (q *quarantine) alternatives(x candidate, members []string, explained map[upstreamStart]bool) [][]string {
+	starts := x.unexplained(explained)
+	slices.SortFunc(starts, func(a, b upstreamStart) int { return x.firstCrash(a).Compare(x.firstCrash(b)) })
+	last := x.firstCrash(starts[min(len(starts), minUnspacedCrashes)-1])
+	if known := x.firstCrash(starts[min(len(starts), minCrashes)-1]).Add(alternativesTime); known.After(last) {
+		last = known
+	}
+	alternatives := make([][]string, len(starts))
+	for key, y := range q.suspects {
+		if slices.Contains(members, key) || y.crashCount() < minRepeatedCrashes {
+			continue
+		}
+		for i, start := range starts {
+			if y.countsCrash(start) && !x.firstCrash(start).After(last) {
+				alternatives[i] = append(alternatives[i], key)
+				q.comparesRequests = q.comparesRequests || y.request
+			}
+		}
+	}
+	return alternatives
+}
+
 // recordCrash records that an engine broke off a request when it began to answer it.
 func (q *quarantine) recordCrash(parts []PromptPart, engine upstreamStart, at time.Time) {
 	for i, p := range shareableParts(parts) {
@@ -355,7 +390,7 @@
 	for _, p := range shareableParts(c.parts) {
 		keys = append(keys, partKey(p))
 	}
-	if q.blockedRequests > 0 {
+	if q.blockedRequests > 0 || q.comparesRequests {
 		keys = append(keys, c.requestKey(team))
 	}
 	return keys
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -121,6 +121,62 @@
 	}
 }
 
+// Guards against sound requests being refused for the parts that all prompts under which engines crash share.
+func TestPromptsThatAreTriedOutAlthoughAllTheirPartsAreBlocked(t *testing.T) {
+	const s = time.Second
+	inTurn := []promptStep{{0, "e1", prompt("x", "a")}, {s, "e2", prompt("y", "a")}, {2 * s, "e3", prompt("x", "a")}}
+	twice := append(slices.Clone(inTurn), promptStep{3 * s, "e4", prompt("y", "a")})
+	for _, c := range []struct {
+		name  string
+		steps []promptStep
+		parts []PromptPart
+		tried bool
+	}{
+		{"a part that was not in a crash", inTurn, prompt("c", "a"), true},
+		{"the shared part alone", inTurn, prompt("a"), true},
+		{"a part of two of the crashes", inTurn, prompt("x", "a"), false},
+		{"a part of the only crash in which it was", inTurn, prompt("y", "a"), true},
+		{"three parts, one of each crash", []promptStep{{0, "e1", prompt("x", "a")}, {s, "e2", prompt("y", "a")}, {2 * s, "e3", prompt("z", "a")}}, prompt("c", "a"), false},
+		{"a crash without others after the block", append(slices.Clone(twice), promptStep{5 * s, "e5", prompt("c", "a")}), prompt("d", "a"), true},
+		{"two crashes without others after the block", append(slices.Clone(twice), promptStep{5 * s, "e5", prompt("c", "a")}, promptStep{6 * s, "e6", prompt("d", "a")}), prompt("e", "a"), false},
+		{"a crash of the first parts long after the block", append(slices.Clone(twice), promptStep{10 * s, "e5", prompt("x", "a")}), prompt("c", "a"), true},
+		{"other parts long after the block", append(slices.Clone(twice), promptStep{10 * s, "e5", prompt("z", "a")}, promptStep{11 * s, "e6", prompt("z", "a")}, promptStep{12 * s, "e7", prompt("z", "a")}), prompt("c", "a"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q, start := newQuarantine(), time.Unix(1_000_000, 0)
+			for _, x := range c.steps {
+				q.recordCrash(x.parts, upstreamStart{x.engine, 1}, start.Add(x.at))
+			}
+			v := q.blockOfCall(NewCall("r", "/chats/1", "", NewMessage("POST", "/chats/1", "shop.example", nil, nil), start, start.Add(time.Minute)).WithTokens(500, 100, c.parts), "", start.Add(20*s))
+			_, refused := v.Refused()
+			is.Equal(!refused, c.tried)
+			is.Equal(len(v.Trials()) > 0, c.tried)
+		})
+	}
+}
+
+// Guards against sound requests being refused for a part that two whole requests share under which upstreams crash.
+func TestPromptPartOfCrashingRequestsIsTriedOut(t *testing.T) {
+	is := is.New(t)
+	q, start := newQuarantine(), time.Unix(1_000_000, 0)
+	call := func(body string) *Call {
+		return NewCall("r", "/chats/1", "", NewMessage("POST", "/chats/1", "shop.example", nil, []byte(body)), start, start.Add(time.Minute)).WithTokens(500, 100, prompt("a"))
+	}
+	for i, body := range []string{"first", "second", "first", "second"} {
+		at, engine := start.Add(time.Duration(i)*time.Second), upstreamStart{"e" + strconv.Itoa(i), 1}
+		q.recordCrash(prompt("a"), engine, at)
+		q.recordRequestCrash(call(body).requestKey(""), engine, at)
+	}
+	refuses := func(body string) bool {
+		_, refused := q.blockOfCall(call(body), "", start.Add(5*time.Second)).Refused()
+		return refused
+	}
+	is.True(refuses("first"))
+	is.True(refuses("second"))
+	is.True(!refuses("third"))
+}
+
 func TestEnginesThatEndTogetherBlockAPartAfterTheWaitForAnAnswer(t *testing.T) {
 	is := is.New(t)
 	q, start := newQuarantine(), time.Unix(1_000_000, 0)
