gateway: use upstreams that answer new connections slowly

Cause: a late answer was taken for none. Attempts and probes that are given up reset their connections, and the next ones cost the upstream the same again. All gateways then count as partitioned, refuse everything and go on probing; 195 gateways send more probes than the upstreams can answer, so it stays so.

Change: an answer to a probe that comes after 300 ms, but within 2 s, counts as reached, and its connection is kept. Partitioned gateways take turns with probes, so that together they ask each upstream once a second. After a partition, and from when two upstreams did not answer in time, attempts on new connections are limited (package concurrency): one more with each answer, half after each failure. Upstreams with a kept connection come first; beyond the limit calls are forwarded to a peer or refused at once. Event 1257 reports it.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -18,6 +18,8 @@
 	target   *target
 	load     Load
 	attempts int
+	// unproven reports that the attempt may be on a new connection, and has no answer yet.
+	unproven bool
 	// possibleRuns counts the attempts that may have run.
 	possibleRuns int
 	// refusals counts the attempts that did not run: the upstream refused them or was not reached.
@@ -147,6 +149,9 @@
 func (s *State) place(c *Call, p *pendingCall) []Effect {
 	t, wait := s.chooseUpstream(c, p)
 	if t == nil {
+		if s.recovery(p.service.name) != nil {
+			return s.placeElsewhere(c, p)
+		}
 		return s.refuseUnplaced(c, p)
 	}
 	if left := p.deadline.Sub(s.now); wait > left {
@@ -219,6 +224,14 @@
 	if t := s.recheckLimit(candidates, func(t *target) bool { return s.allows(t, p, version, preferred) }); t != nil {
 		candidates = []*target{t}
 	}
+	if recovery := s.recovery(p.service.name); recovery != nil {
+		if t, wait := s.chooseDomain(pl, c, candidates, func(t *target) bool { return t.kept(s.now) && s.allows(t, p, version, preferred) }); t != nil {
+			return t, wait
+		}
+		if !recovery.Allows(s.unprovenAttempts(p.service.name, c)) {
+			return nil, 0
+		}
+	}
 	for _, tier := range []tier{preferred, anyHealth, fallback} {
 		allow := func(t *target) bool { return s.allows(t, p, version, tier) }
 		if t, wait := s.chooseDomain(pl, c, candidates, allow); t != nil {
@@ -239,6 +252,7 @@
 	p.peer = ""
 	p.target, p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = t, false, false, false, s.now, s.now
 	p.tried[t.start()] = true
+	p.unproven = !t.kept(s.now)
 	if t.limit.named {
 		t.limit.take()
 	}
@@ -346,6 +360,7 @@
 		if p.peer == "" {
 			s.recordReachability(p.target, rail.KindNone, false)
 			s.serviceReached(p.service.name)
+			s.recordAnswered(p)
 			s.confirmAnswers(p.target, p.sentAt)
 			s.observeFirstEvent(c, p)
 		}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -165,7 +165,7 @@
 		return Explanation{x}
 	}
 	if s.partitioned(p.service.name) {
-		return s.explainForward(x, c, p)
+		return s.explainForward(x, c, p, rail.KindNoUpstream, noUpstreamRetryAfter)
 	}
 	return s.explainPlacement(x, c, p)
 }
@@ -175,11 +175,11 @@
 	return Explanation{x}
 }
 
-// explainForward explains a request that this gateway cannot send to upstreams.
-func (s *State) explainForward(x explanation, c *Call, p *pendingCall) Explanation {
+// explainForward explains a request that this gateway cannot send to upstreams, and refuses for the kind if no peer takes it.
+func (s *State) explainForward(x explanation, c *Call, p *pendingCall, kind rail.Kind, wait time.Duration) Explanation {
 	peer, ok := s.choosePeer(c, p)
 	if !ok {
-		return x.refuse(rail.KindNoUpstream, noUpstreamRetryAfter)
+		return x.refuse(kind, wait)
 	}
 	x.Verdict, x.Peer = verdictForward, peer
 	return Explanation{x}
@@ -189,6 +189,9 @@
 func (s *State) explainPlacement(x explanation, c *Call, p *pendingCall) Explanation {
 	t, wait := s.chooseUpstream(c, p)
 	if t == nil {
+		if s.recovery(p.service.name) != nil {
+			return s.explainForward(x, c, p, rail.KindOverloaded, overloadedRetryAfter)
+		}
 		if wait, named := s.upstreamWait(p.service.name); named {
 			return x.refuse(rail.KindOverloaded, wait)
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,13 +140,16 @@
 	maxConns int
 }
 
+// NewProbe returns the effect; maxConns is how many connections to the upstream this gateway may open, zero for no limit.
+func NewProbe(u Upstream, maxConns int) Probe { return Probe{upstream: u, maxConns: maxConns} }
+
 // Upstream returns the upstream to reach.
 func (e Probe) Upstream() Upstream { return e.upstream }
 
 // MaxConns returns how many connections to the upstream this gateway may open, zero for no limit.
 func (e Probe) MaxConns() int { return e.maxConns }
 
-// ProbeEnded reports whether a probe reached its upstream.
+// ProbeEnded reports whether a probe reached its upstream. One that is answered late comes twice.
 type ProbeEnded struct {
 	upstreamID string
 	ok         bool
--- a/gateway/forwardfleet_test.go
+++ b/gateway/forwardfleet_test.go
@@ -34,10 +34,19 @@
 	secondHops int
 	probes     map[string]int
 	reports    map[rail.EventNumber]int
+	// connectionsPerSecond is the number of new connections that each upstream answers in a second, zero for no limit. backlogUntil is when each one
+	// has answered those so far, idle the number of idle connections of each gateway and upstream, opened counts the new ones.
+	connectionsPerSecond float64
+	backlogUntil         map[string]time.Time
+	idle                 map[connectionEnds]int
+	opened               int
 	// heldHops are the forwarded calls that wait at peers, with what carries out their next effects.
 	heldHops map[*Call]func(Effect)
 }
 
+// connectionEnds names the two ends of connections.
+type connectionEnds struct{ gateway, upstream string }
+
 // cutForm is what happens to connections across a partition.
 type cutForm int
 
@@ -51,7 +60,7 @@
 const forwardKey = "access"
 
 func newForwardFleet(gateways, domains, upstreams int, seed uint64) *forwardFleet {
-	f := &forwardFleet{deskFleet: newDeskFleet(gateways, domains, upstreams, seed), dead: map[string]bool{}, draining: map[string]bool{}, served: map[*Call]bool{}, runs: map[string]int{}, forwarded: map[string]int{}, probes: map[string]int{}, reports: map[rail.EventNumber]int{}, heldHops: map[*Call]func(Effect){}}
+	f := &forwardFleet{deskFleet: newDeskFleet(gateways, domains, upstreams, seed), dead: map[string]bool{}, draining: map[string]bool{}, served: map[*Call]bool{}, runs: map[string]int{}, forwarded: map[string]int{}, probes: map[string]int{}, reports: map[rail.EventNumber]int{}, heldHops: map[*Call]func(Effect){}, backlogUntil: map[string]time.Time{}, idle: map[connectionEnds]int{}}
 	f.cut = func(*State, Upstream) bool { return false }
 	team := NewTeam("engravers", 1, []string{"key-1"}).WithLimit(1e6, 1e6, false, 0)
 	registrations := map[string]Registration{}
@@ -88,7 +97,11 @@
 			f.probes[name]++
 			took, ok := time.Millisecond, !f.cut(f.states[name], e.upstream) && !f.engines[e.upstream.id].down
 			if !ok && f.how != connectionsRefused {
-				took = 300 * time.Millisecond
+				took = simulatedProbeTimeout
+			}
+			if ok && f.connectionsPerSecond > 0 {
+				f.probeSlowUpstream(name, e.upstream.id)
+				continue
 			}
 			f.after(took, func() { f.reduce(name, NewProbeEnded(e.upstream.id, ok)) })
 		}
@@ -175,6 +188,8 @@
 		}
 		f.after(e.deadline.Sub(f.now)+answerGrace, func() { finish(rail.KindDeadlinePassed) })
 		f.failOver(name, e, func() bool { return done }, func() { finish(rail.KindUpstreamSilent) })
+	case f.connectionsPerSecond > 0:
+		f.attemptSlowUpstream(name, e, end)
 	default:
 		f.arrivals++
 		f.runs[e.call.id]++
@@ -182,6 +197,68 @@
 	}
 }
 
+// open opens a connection and returns when the upstream answers on it; it does so in order, also where the gateway has given up meanwhile.
+func (f *forwardFleet) open(upstreamID string) time.Duration {
+	f.opened++
+	if f.backlogUntil[upstreamID].Before(f.now) {
+		f.backlogUntil[upstreamID] = f.now
+	}
+	f.backlogUntil[upstreamID] = f.backlogUntil[upstreamID].Add(time.Duration(float64(time.Second) / f.connectionsPerSecond))
+	return f.backlogUntil[upstreamID].Sub(f.now)
+}
+
+// attemptSlowUpstream makes an attempt on an idle connection, or on a new one that the upstream may answer late.
+func (f *forwardFleet) attemptSlowUpstream(name string, e Send, end func(Outcome)) {
+	ends := connectionEnds{name, e.upstream.id}
+	wait := time.Duration(0)
+	if f.idle[ends] > 0 {
+		f.idle[ends]--
+	} else {
+		wait = f.open(e.upstream.id)
+	}
+	done := false
+	finish := func(o Outcome) {
+		if !done {
+			done = true
+			end(o)
+		}
+	}
+	f.after(wait, func() {
+		if done {
+			return
+		}
+		f.arrivals++
+		f.runs[e.call.id]++
+		f.after(time.Duration(10+f.random.IntN(20))*time.Millisecond, func() {
+			if !done {
+				f.idle[ends]++
+			}
+			finish(Outcome{status: 200, answered: true})
+		})
+	})
+	f.after(e.deadline.Sub(f.now)+answerGrace, func() { finish(Outcome{kind: rail.KindDeadlinePassed, timedOut: true}) })
+	f.failOver(name, e, func() bool { return done }, func() { finish(Outcome{kind: rail.KindUpstreamSilent, timedOut: true}) })
+}
+
+const (
+	simulatedProbeTimeout     = 300 * time.Millisecond
+	simulatedLateProbeTimeout = 2 * time.Second
+)
+
+// probeSlowUpstream probes an upstream on a new connection, which is kept if it is answered.
+func (f *forwardFleet) probeSlowUpstream(name, upstreamID string) {
+	wait := f.open(upstreamID)
+	if wait > simulatedProbeTimeout {
+		f.after(simulatedProbeTimeout, func() { f.reduce(name, NewProbeEnded(upstreamID, false)) })
+	}
+	if wait <= simulatedLateProbeTimeout {
+		f.after(wait, func() {
+			f.idle[connectionEnds{name, upstreamID}]++
+			f.reduce(name, NewProbeEnded(upstreamID, true))
+		})
+	}
+}
+
 // failOver plays the failover timeout of an attempt.
 func (f *forwardFleet) failOver(name string, e Send, done func() bool, abort func()) {
 	if e.failoverTimeout <= 0 {
@@ -309,7 +386,11 @@
 	return s.gateways > maxSimulatedGateways
 })
 
-const contactTime = 3 * time.Second
+// The users' bounds ContactMs and RecoverS.
+const (
+	contactTime = 3 * time.Second
+	recoverTime = 12 * time.Second
+)
 
 // Guards against callers of gateways that are partitioned from all upstreams getting refusals while peers reach them (RECOVER).
 func TestCallersOfPartitionedGatewaysAreServed(t *testing.T) {
@@ -438,6 +519,45 @@
 	}
 }
 
+// Guards against gateways that refuse everything while all upstreams run, but answer new connections slowly (RECOVER).
+func TestUpstreamsThatAnswerNewConnectionsSlowlyAreUsed(t *testing.T) {
+	for _, size := range forwardFleetSizes {
+		for _, c := range []struct {
+			name  string
+			share float64 // Of the requests for which an upstream could answer a new connection each.
+		}{
+			{"half of the requests", 0.5},
+			{"a quarter of the requests", 0.25},
+		} {
+			for seed := range uint64(2) {
+				t.Run(fmt.Sprintf("%d gateways, new connections for %s, seed %d", size.gateways, c.name, seed), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					f := newForwardFleet(size.gateways, size.domains, size.upstreams, 20+seed)
+					f.play(2*time.Second, size.perSecond)
+					f.connectionsPerSecond = c.share * size.perSecond * float64(size.gateways) / float64(size.upstreams)
+					begin := f.now // No connection is left.
+					f.play(recoverTime, size.perSecond)
+					f.play(10*time.Second, size.perSecond)
+					_, served := f.servedShares(begin.Add(recoverTime), func(string) bool { return false })
+					limit := f.connectionsPerSecond * float64(size.upstreams) * (recoverTime + 10*time.Second).Seconds()
+					t.Logf("%.3f served; %d partitions, %.1f probes a second at each gateway; %d new connections, %.0f could be answered", served, f.reports[rail.EventPartitionBegan],
+						float64(f.probeCount())/f.now.Sub(begin).Seconds()/float64(size.gateways), f.opened, limit)
+					is.True(served >= 2.0/3)
+					f.connectionsPerSecond = 0
+					ended := f.now
+					f.play(5*time.Second, size.perSecond)
+					_, served = f.servedShares(ended.Add(2*time.Second), func(string) bool { return false })
+					is.True(served > 0.99)
+					orders, lookups := f.ordersRunTwice()
+					is.Equal(orders, 0)
+					is.Equal(lookups, 0)
+				})
+			}
+		}
+	}
+}
+
 // Guards against forwards that are charged to teams, counted as usage or retried at both gateways.
 func TestForwardedCallsAreCountedOnce(t *testing.T) {
 	for how := range connectionsBreak + 1 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,7 +15,8 @@
 type Sender interface {
 	// Send performs one attempt and returns the answer with its body unread; the error's kind tells whether the call may have run.
 	Send(ctx context.Context, e Send) (*Answer, error)
-	// Probe starts to ask the upstream for a sign that it is reached, without blocking, and reports whether it gave one.
+	// Probe starts to ask the upstream for a sign that it is reached, without blocking, and reports whether it gave one in time. One that
+	// comes late is reported, too.
 	Probe(e Probe, report func(ok bool))
 	// Check starts to ask an engine for its report, without blocking, and reports the answer.
 	Check(e CheckEngine, report func(runend.Check))
--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -208,16 +208,16 @@
 		}
 		return ids
 	}
-	h.advance(probeInterval)
+	h.advance(minProbeInterval)
 	h.digest("gateway-2", func(*Digest) {})
-	asked := probes(h.advance(probeInterval).post(Ticked{}))
+	asked := probes(h.advance(minProbeInterval).post(Ticked{}))
 	if len(asked) == 0 { // The tick of the digest asked it.
 		for id := range h.state.partitions["desk"].asked {
 			asked = append(asked, id)
 		}
 	}
 	is.Equal(len(asked), 1)
-	is.Equal(len(probes(h.advance(probeInterval).post(Ticked{}))), 0) // One at a time.
+	is.Equal(len(probes(h.advance(minProbeInterval).post(Ticked{}))), 0) // One at a time.
 	h.digest("gateway-2", func(*Digest) {})
 	next := probes(h.post(NewProbeEnded(asked[0], true)))
 	is.Equal(len(next), 1)
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionrail.org/rail"
+	"dandelionrail.org/rail/concurrency"
 )
 
 // partition tracks whether this gateway reaches the upstreams of a service. What attempts seem to tell of upstreams is kept back while
@@ -23,6 +24,8 @@
 	// probes holds when upstreams were last asked, reached those that answered since the partition began.
 	probes  map[string]time.Time
 	reached map[string]bool
+	// recovery limits the attempts on new connections, nil if there is no limit.
+	recovery *concurrency.Limit
 }
 
 // failure is an upstream that was not reached.
@@ -41,9 +44,12 @@
 	minFailingTime = 250 * time.Millisecond
 	// minReached is the number of upstreams that must be reached to end a partition.
 	minReached = 2
-	// probeInterval is the time between two probes; suspicionProbes is the number of those that a suspicion begins with.
-	probeInterval   = 500 * time.Millisecond
-	suspicionProbes = minPartition - minSuspicion
+	// minProbeInterval is the time between two probes if few gateways are partitioned; suspicionProbes is the number of those that a suspicion
+	// begins with.
+	minProbeInterval = 500 * time.Millisecond
+	suspicionProbes  = minPartition - minSuspicion
+	// probeShare is the time in which partitioned gateways ask each upstream once, all together.
+	probeShare = time.Second
 	// probeTimeout is the time without a result after which a probe is given up; it is no evidence.
 	probeTimeout = 2 * time.Second
 	// minSilentWait is how long a caller that disconnects must have waited for the upstream to count as not reached.
@@ -100,10 +106,12 @@
 func (s *State) recordAttemptReach(p *pendingCall, o Outcome, record func()) []Effect {
 	if o.reached() {
 		s.serviceReached(p.service.name)
+		s.recordAnswered(p)
 	}
 	var effects []Effect
 	if p.notReached(o) {
 		effects = s.recordNotReached(p.service.name, p.target)
+		effects = append(effects, s.recordUnanswered(p, o)...)
 	}
 	if !o.reached() && s.suspectsPartition(p.service.name) {
 		s.partitions[p.service.name].keep(record)
@@ -210,17 +218,33 @@
 				delete(x.asked, id)
 			}
 		}
-		if len(x.asked) == 0 && s.now.Sub(x.probedAt) >= probeInterval {
+		if len(x.asked) == 0 && s.probeDue(service, x) {
 			effects = append(effects, s.probeNext(service, x)...)
 		}
 	}
 	return effects
 }
 
+// probeDue reports whether the next probe is due. While many gateways are partitioned the time between two grows, since upstreams that answer
+// new connections slowly would be kept busy with probes, and the gateways take turns.
+func (s *State) probeDue(service string, x *partition) bool {
+	if s.now.Sub(x.probedAt) < minProbeInterval {
+		return false
+	}
+	gateways := 1 + len(s.partitionedPeers[service])
+	interval := probeShare * time.Duration(gateways) / time.Duration(max(1, len(s.registry.ofService(service))))
+	if x.beganAt.IsZero() || interval <= minProbeInterval {
+		return true
+	}
+	phase := time.Duration(hashWeight(service, s.settings.name) % uint64(interval)) //nolint:gosec // The interval is positive.
+	turn := func(at time.Time) int64 { return at.Add(phase).UnixNano() / int64(interval) }
+	return turn(s.now) != turn(x.probedAt)
+}
+
 // probeSuspicion asks several upstreams at once when a partition begins to be suspected.
 func (s *State) probeSuspicion(service string, x *partition) []Effect {
 	var effects []Effect
-	if s.suspicious(service, x) && s.now.Sub(x.probedAt) >= probeInterval {
+	if s.suspicious(service, x) && s.now.Sub(x.probedAt) >= minProbeInterval {
 		for range suspicionProbes {
 			effects = append(effects, s.probeNext(service, x)...)
 		}
@@ -244,7 +268,7 @@
 	if config := s.config.services[service]; config != nil {
 		maxConns = s.connectionLimit(config)
 	}
-	return []Effect{Probe{upstream: next.Upstream, maxConns: maxConns}}
+	return []Effect{NewProbe(next.Upstream, maxConns)}
 }
 
 // probesBefore reports whether the first upstream is asked before the second one.
@@ -282,19 +306,30 @@
 			delete(x.reached, e.upstreamID)
 			return nil
 		}
-		x.reached[e.upstreamID] = true
-		usable := 0
-		for _, t := range s.registry.ofService(service) {
-			if !t.leaving && !s.evacuations.Contains(t.domain) {
-				usable++
-			}
+		return s.upstreamReached(service, x, e.upstreamID)
+	}
+	if t, ok := s.registry.targets[e.upstreamID]; ok && e.ok && s.partitioned(t.service) {
+		return s.upstreamReached(t.service, s.partitions[t.service], t.id) // Late, but it is reached.
+	}
+	return nil
+}
+
+// upstreamReached ends the partition if enough upstreams are reached, and asks the next one otherwise.
+func (s *State) upstreamReached(service string, x *partition, id string) []Effect {
+	x.reached[id] = true
+	usable := 0
+	for _, t := range s.registry.ofService(service) {
+		if t.id == id {
+			t.answeredAt = s.now
 		}
-		if len(x.reached) >= min(minReached, usable) || len(s.forwardPeers(service)) == 0 {
-			return s.endPartition(service, x)
+		if !t.leaving && !s.evacuations.Contains(t.domain) {
+			usable++
 		}
-		return s.probeNext(service, x) // The next upstream is asked at once.
 	}
-	return nil
+	if len(x.reached) >= min(minReached, usable) || len(s.forwardPeers(service)) == 0 {
+		return s.endPartition(service, x)
+	}
+	return s.probeNext(service, x)
 }
 
 // endPartition ends a partition; what attempts told of the upstreams meanwhile is forgotten.
@@ -304,6 +339,7 @@
 	clear(x.failed)
 	clear(x.reached)
 	clear(x.probes)
+	x.recovery = concurrency.New(1, s.now)
 	for _, t := range s.registry.ofService(service) {
 		t.health = health{}
 		delete(s.reachability, t.domain)
--- a/gateway/registry.go
+++ b/gateway/registry.go
@@ -19,6 +19,8 @@
 	limit    requestLimit
 	cold     coldStart
 	refusal  refusalTime
+	// answeredAt is when it last answered this gateway, zero if the last attempt since was not answered.
+	answeredAt time.Time
 	// abandoned holds the requests that were given up here shortly ago.
 	abandoned []abandonment
 	// unconfirmed holds answers that ended with their connections shortly ago.
--- a/number.go
+++ b/number.go
@@ -114,6 +114,7 @@
 	EventCapacityRequired     EventNumber = 1254
 	EventCapacityLeaving      EventNumber = 1255
 	EventCapacityBasis        EventNumber = 1256
+	EventConnectionsLimited   EventNumber = 1257
 	EventLogLinesDropped      EventNumber = 1260
 	EventRequestQueued        EventNumber = 1270
 	EventQueueRefused         EventNumber = 1271
@@ -209,6 +210,7 @@
 	EventPartitionBegan:       "upstreams of a service are unreachable from this gateway; its calls are forwarded to peers",
 	EventPartitionEnded:       "upstreams of a service are reachable again",
 	EventForwardRefused:       "peer refused a forwarded call or was unreachable",
+	EventConnectionsLimited:   "upstreams of a service do not answer; requests on new connections are limited",
 	EventStreamMoved:          "stream goes on at another upstream",
 	EventSuspectsNotStored:    "suspected prompt parts and requests were not written to the store",
 	EventRequestLimitNamed:    "upstream named a request limit",
