gateway: refuse for the limit of new connections only where it is the reason

A call that finds no upstream for another reason, such as a named wait, keeps its own refusal while a service recovers. The tests of the limit, of Explain and of refusals in a total partition hold.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -149,7 +149,7 @@
 func (s *State) place(c *Call, p *pendingCall) []Effect {
 	t, wait := s.chooseUpstream(c, p)
 	if t == nil {
-		if s.recovery(p.service.name) != nil {
+		if s.limitsNewConnections(p.service.name, c) {
 			return s.placeElsewhere(c, p)
 		}
 		return s.refuseUnplaced(c, p)
@@ -224,11 +224,11 @@
 	if t := s.recheckLimit(candidates, func(t *target) bool { return s.allows(t, p, version, preferred) }); t != nil {
 		candidates = []*target{t}
 	}
-	if recovery := s.recovery(p.service.name); recovery != nil {
+	if s.recovery(p.service.name) != nil {
 		if t, wait := s.chooseDomain(pl, c, candidates, func(t *target) bool { return t.kept(s.now) && s.allows(t, p, version, preferred) }); t != nil {
 			return t, wait
 		}
-		if !recovery.Allows(s.unprovenAttempts(p.service.name, c)) {
+		if s.limitsNewConnections(p.service.name, c) {
 			return nil, 0
 		}
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -189,7 +189,7 @@
 func (s *State) explainPlacement(x explanation, c *Call, p *pendingCall) Explanation {
 	t, wait := s.chooseUpstream(c, p)
 	if t == nil {
-		if s.recovery(p.service.name) != nil {
+		if s.limitsNewConnections(p.service.name, c) {
 			return s.explainForward(x, c, p, rail.KindOverloaded, overloadedRetryAfter)
 		}
 		if wait, named := s.upstreamWait(p.service.name); named {
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -48,8 +48,8 @@
 	// begins with.
 	minProbeInterval = 500 * time.Millisecond
 	suspicionProbes  = minPartition - minSuspicion
-	// probeShare is the time in which partitioned gateways ask each upstream once, all together.
-	probeShare = time.Second
+	// probeSpacing is the time between two probes of an upstream by all partitioned gateways together.
+	probeSpacing = time.Second
 	// probeTimeout is the time without a result after which a probe is given up; it is no evidence.
 	probeTimeout = 2 * time.Second
 	// minSilentWait is how long a caller that disconnects must have waited for the upstream to count as not reached.
@@ -232,7 +232,7 @@
 		return false
 	}
 	gateways := 1 + len(s.partitionedPeers[service])
-	interval := probeShare * time.Duration(gateways) / time.Duration(max(1, len(s.registry.ofService(service))))
+	interval := probeSpacing * time.Duration(gateways) / time.Duration(max(1, len(s.registry.ofService(service))))
 	if x.beganAt.IsZero() || interval <= minProbeInterval {
 		return true
 	}
--- a/gateway/recovery.go
+++ b/gateway/recovery.go
@@ -30,6 +30,12 @@
 	return x.recovery
 }
 
+// limitsNewConnections reports whether the call must not be sent on a new connection, since others wait for answers on theirs.
+func (s *State) limitsNewConnections(service string, c *Call) bool {
+	r := s.recovery(service)
+	return r != nil && !r.Allows(s.unprovenAttempts(service, c))
+}
+
 // unprovenAttempts returns the number of attempts, besides that of the call, that wait for the first answer on a new connection.
 func (s *State) unprovenAttempts(service string, but *Call) int {
 	n := 0
@@ -70,7 +76,7 @@
 	return []Effect{report(rail.EventConnectionsLimited, NewField("service", service), NewField("limit", x.recovery.Most()))}
 }
 
-// placeElsewhere forwards a call of a service that recovers to a peer, or refuses it if there is none.
+// placeElsewhere forwards a call that may not be sent on a new connection to a peer, or refuses it if there is none.
 func (s *State) placeElsewhere(c *Call, p *pendingCall) []Effect {
 	if !p.forwarded {
 		if peer, ok := s.choosePeer(c, p); ok {
