soak: answers that are cut at the caller's deadline are not lost

Trace of 581003: event 1270 at 0 s with leftMs 2999, 1230 at 2.84 s with leftMs 164, 1231 and 111 at 3.06 s with deadlinePassed. The stream had waited for capacity, and its deadline passed while it was answered. The users' rule LOST says "Not counted: the worker broke off, the deadline or the route's timeout was reached". The check counted it all the same; it leaves out what ended after the caller's deadline now, and nothing else.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -401,7 +401,8 @@
 				pause = 5 * time.Millisecond
 			}
 			d.mu.Unlock()
-			if q.err != nil && (d.scenario == planned || d.scenario == evacuated) && d.reached(q) {
+			// An answer that goes on at the caller's deadline is cut.
+			if q.err != nil && q.doneAt.Before(q.deadline) && (d.scenario == planned || d.scenario == evacuated) && d.reached(q) {
 				d.recorder.recordViolation("LOST: %s %s at %s: %v after %v, %d events", q.method, q.path, q.gateway, q.err, q.doneAt.Sub(q.sentAt), q.received)
 			}
 			if q.err != nil {
