--- a/gateway/promptcrash_test.go
+++ b/gateway/promptcrash_test.go
@@ -209,6 +209,21 @@
 	}
 }
 
+// playPoison plays the sound requests, then the poisonous ones alone, and then both for the length. It returns the share of the sound requests that
+// begin, from the time on at which all gateways must know of the crashes.
+func (f *engineFleet) playPoison(t *testing.T, contact, length time.Duration, l load) float64 {
+	t.Helper()
+	f.acceptForwards()
+	f.play(5*time.Second, load{sound: l.sound})
+	f.play(2*time.Second, load{}) // No answer that ends later tells the parts apart.
+	f.play(4*time.Second, load{poisonous: l.poisonous})
+	f.play(length, l)
+	f.report(t, contact)
+	begun := f.begunShare(f.crashes[min(4, len(f.crashes)-1)].Add(2 * contact))
+	t.Logf("%.3f of the sound requests begun", begun)
+	return begun
+}
+
 // Guards against sound requests being refused for a part that all prompts under which engines crash share, wherever it stands in them.
 func TestSoundPartsOfPromptsUnderWhichEnginesCrashStayInUse(t *testing.T) {
 	shared := []string{"a", "b"}
@@ -238,15 +253,8 @@
 				t.Parallel()
 				is := is.New(t)
 				f := newEngineFleet(size.gateways, size.domains, size.engines, 1)
-				f.acceptForwards()
 				f.prompts, f.connectionEnds = c.prompts, c.connectionEnds
-				f.play(5*time.Second, load{sound: c.sound})
-				f.play(2*time.Second, load{}) // No answer that ends later tells the parts apart.
-				f.play(4*time.Second, load{poisonous: c.poisonous})
-				f.play(25*time.Second, load{sound: c.sound, poisonous: c.poisonous})
-				f.report(t, size.contact)
-				begun := f.begunShare(f.crashes[min(4, len(f.crashes)-1)].Add(2 * size.contact))
-				t.Logf("%.3f of the sound requests begun", begun)
+				begun := f.playPoison(t, size.contact, 25*time.Second, load{sound: c.sound, poisonous: c.poisonous})
 				is.True(f.arrivalsAfter(size.contact) <= 3)
 				is.True(begun >= 0.5)
 			})
@@ -292,15 +300,8 @@
 				t.Parallel()
 				is := is.New(t)
 				f := newEngineFleet(size.gateways, size.domains, size.engines, 1)
-				f.acceptForwards()
 				f.prompts, f.connectionEnds = c.prompts, c.connectionEnds
-				f.play(5*time.Second, load{sound: c.sound})
-				f.play(2*time.Second, load{}) // No answer that ends later tells the parts apart.
-				f.play(4*time.Second, load{poisonous: c.poisonous})
-				f.play(40*time.Second, load{sound: c.sound, poisonous: c.poisonous})
-				f.report(t, size.contact)
-				begun := f.begunShare(f.crashes[min(4, len(f.crashes)-1)].Add(2 * size.contact))
-				t.Logf("%.3f of the sound requests begun", begun)
+				begun := f.playPoison(t, size.contact, 40*time.Second, load{sound: c.sound, poisonous: c.poisonous})
 				is.True(begun >= 0.5)
 				for part, crashes := range f.crashesOf {
 					late := countLater(f.arrivalsOf[part], crashes, 5, size.contact)
