Log whether a moved stream's engine had read the request

Events 1249 and 1300 tell how a run was seen to end, but not whether its engine had ever read the request: a report cannot show a request that is still unread. They have `begun` now: there was an event, or a report listed the run.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -71,7 +71,7 @@
 	if p.peer != "" {
 		x.upstreamID = o.placement
 		x.upstream, x.known = s.upstreamEntry(o.placement)
-		x.run = runend.NewRun(c.id).Aborted(s.now) // What ended is the connection to the peer.
+		x.run = runend.NewRun(c.id, p.sentAt).Aborted(s.now) // What ended is the connection to the peer.
 		return x
 	}
 	x.upstreamID, x.upstream, x.known = p.target.id, p.target.Upstream, true
@@ -89,7 +89,7 @@
 
 // currentRun describes the call's attempt in progress.
 func (p *pendingCall) currentRun(c *Call) runend.Run {
-	run := runend.NewRun(c.id)
+	run := runend.NewRun(c.id, p.sentAt)
 	if p.gotFirstToken {
 		run = run.WithEvent(p.firstTokenAt)
 	}
@@ -164,7 +164,7 @@
 	return []Effect{
 		StreamMoved{cause: x.cause, ending: ending},
 		report(rail.EventStreamMoved, NewField("request", c.id), NewField("cause", string(x.cause)), NewField("ending", string(ending)), NewField("upstream", x.upstreamID),
-			NewField("peer", p.peer), NewField("sinceEventMs", s.now.Sub(x.eventAt).Milliseconds())),
+			NewField("begun", s.hasBegun(x)), NewField("peer", p.peer), NewField("sinceEventMs", s.now.Sub(x.eventAt).Milliseconds())),
 	}
 }
 
@@ -183,7 +183,7 @@
 	if !known {
 		return s.refuse(c, p, rail.KindNotReady, notReadyRetryAfter)
 	}
-	p.previous = &previousRun{upstreamID: upstreamID, upstream: upstream, known: true, run: runend.NewRun(c.id).Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
+	p.previous = &previousRun{upstreamID: upstreamID, upstream: upstream, known: true, run: runend.NewRun(c.id, s.now).Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
 	s.calls[c] = p
 	s.moves[c] = &move{since: s.now, forwarded: true}
 	return append(s.checkEngine(upstream, moveCheckInterval), Hold{call: c})
@@ -223,6 +223,15 @@
 	return effects
 }
 
+// hasBegun reports whether the run is known to have begun.
+func (s *State) hasBegun(x *previousRun) bool {
+	k, ok := s.checks[x.upstream.start()]
+	if !ok {
+		k = &engineCheck{}
+	}
+	return k.history.Begun(x.run)
+}
+
 // placeForwarded places a forwarded call that waited for its previous run, or refuses it.
 func (s *State) placeForwarded(c *Call, p *pendingCall, ended bool) []Effect {
 	if !ended {
@@ -234,7 +243,7 @@
 // endMove ends a call whose previous run was not seen to end.
 func (s *State) endMove(c *Call, p *pendingCall, m *move) []Effect {
 	return append([]Effect{report(rail.EventMoveGivenUp, NewField("request", c.id), NewField("cause", string(p.previous.cause)), NewField("upstream", p.previous.upstreamID),
-		NewField("waitedMs", s.now.Sub(m.since).Milliseconds()))}, s.endCall(c, p, m.outcome)...)
+		NewField("begun", s.hasBegun(p.previous)), NewField("waitedMs", s.now.Sub(m.since).Milliseconds()))}, s.endCall(c, p, m.outcome)...)
 }
 
 // refuseForwardedMoves refuses the forwarded calls that wait for the ends of their previous runs, so that other peers can take them.
--- a/runend/history.go
+++ b/runend/history.go
@@ -1,6 +1,9 @@
 package runend
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Ending is how a run was seen to end.
 type Ending string
@@ -21,6 +24,8 @@
 const (
 	// reportAge is how old the content of a report may be.
 	reportAge = 500 * time.Millisecond
+	// memory is how long it is known that a report listed a run.
+	memory = 20 * time.Second
 	// minTimeouts is the number of consecutive timeouts from which an engine counts as unreachable: one may be a lost packet.
 	minTimeouts = 2
 )
@@ -30,6 +35,8 @@
 	last Check // The last one that brought a report.
 	// lists reports whether the engine has ever listed its runs.
 	lists bool
+	// listedAt holds when the last report that listed a run was asked for, by the id of its request.
+	listedAt map[string]time.Time
 	// refusedAt is when the last check began that was refused, timedOutAt those of the last checks, as far as all of them timed out.
 	refusedAt  time.Time
 	timedOutAt []time.Time
@@ -49,7 +56,28 @@
 	case Reported:
 		h.last = c
 		h.lists = h.lists || c.report.lists()
+		h.recordRuns(c)
+	}
+}
+
+// recordRuns records which runs the report lists, and drops what is old.
+func (h *History) recordRuns(c Check) {
+	maps.DeleteFunc(h.listedAt, func(_ string, at time.Time) bool { return at.Before(c.startedAt.Add(-memory)) })
+	if h.listedAt == nil {
+		h.listedAt = map[string]time.Time{}
 	}
+	for id := range c.report.runs {
+		h.listedAt[id] = c.startedAt
+	}
+}
+
+// Begun reports whether the engine is known to have read the request of the run: there was an event, or a report that listed it.
+func (h *History) Begun(r Run) bool { return r.hasEvent() || h.listed(r) }
+
+// listed reports whether a report since the request was sent has listed the run.
+func (h *History) listed(r Run) bool {
+	at, ok := h.listedAt[r.id]
+	return ok && !at.Before(r.sentAt)
 }
 
 // Ending returns how the run was seen to end, Unseen if it was not. Only what was asked for after the end of the attempt counts.
--- a/runend/history_test.go
+++ b/runend/history_test.go
@@ -34,7 +34,7 @@
 func TestEndingOfARun(t *testing.T) {
 	start := time.Date(2026, time.December, 6, 12, 0, 0, 0, time.UTC)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	sent := NewRun("r-1")
+	sent := NewRun("r-1", at(0))
 	streaming := sent.WithEvent(at(100))
 	without := Report{}
 	for _, c := range []struct {
--- a/runend/run.go
+++ b/runend/run.go
@@ -5,6 +5,8 @@
 // Run is a stream at an engine, as the attempt shows it.
 type Run struct {
 	id string
+	// sentAt is when the request was sent, or is known to have been sent before.
+	sentAt time.Time
 	// eventAt is when the first event of the attempt arrived, zero if none has.
 	eventAt time.Time
 	// abandonedAt is when the attempt ended without the end of the stream, zero while it is in progress.
@@ -14,8 +16,8 @@
 	closed, timedOut bool
 }
 
-// NewRun returns the run of a request whose attempt is in progress and has had no event.
-func NewRun(id string) Run { return Run{id: id} }
+// NewRun returns the run of a request that was sent at the time, whose attempt is in progress and has had no event.
+func NewRun(id string, sentAt time.Time) Run { return Run{id: id, sentAt: sentAt} }
 
 // WithEvent returns the run with the time of its first event.
 func (r Run) WithEvent(at time.Time) Run {
@@ -41,6 +43,9 @@
 	return r
 }
 
+// hasEvent reports whether the attempt has had an event.
+func (r Run) hasEvent() bool { return !r.eventAt.IsZero() }
+
 // listedSince returns the time from which a run that is in progress must be listed, false if there is none. A request without an event may
 // have waited until its attempt ended, and may not have begun to run.
 func (r Run) listedSince() (time.Time, bool) {
