A stream whose engine may not have read its request is not sent elsewhere

Cause: the end of a run was taken from a report of its engine that did not list it, asked for 500 ms after the end of the attempt. A report shows only what the engine has read. The 500 ms were a lease that ran out.

Change: a report is evidence of an end only if the engine is known to have read the request: an earlier report has listed the run, or there was an event. In the second case two reports are required, half a second apart from the answer of the first one to the request of the second, so that one that a paused engine answers late does not count. Attempts without an event are aborted by the failover timeout only if they are listed. A request that may be unread waits for half of the time after which callers leave, and ends as a failure then.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -652,7 +652,7 @@
 		if !s.hasNext(c, p, func(*target) bool { return true }) {
 			return nil
 		}
-		if checks = s.checkEngine(p.target.Upstream, silenceCheckInterval); !s.endObservable(p) {
+		if checks = s.checkEngine(p.target.Upstream, silenceCheckInterval); !s.endObservable(c, p) {
 			return checks
 		}
 	}
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -264,16 +264,19 @@
 			is := is.New(t)
 			h := newServingHarness(testEngine("a", "north"))
 			h.state.settings = h.state.settings.WithRetries(0.2, c.retries)
+			var ids []string
 			for range streams {
 				call := h.advance(time.Millisecond).call("/drafts/1")
 				is.Equal(h.arrive(call).(Send).upstream.id, "a")
 				h.post(AnswerStarted{call: call})
+				ids = append(ids, call.id)
 			}
 			h.list(UpstreamSet(testEngine("b", "north")))
 			c.prepare(h)
 			h.advance(time.Second).post(Ticked{})
+			h.checked("a", ids...)
 			var aborted []Abort
-			for n := 0; n < 5 && len(aborted) == 0; n++ {
+			for n := 0; n < 10 && len(aborted) == 0; n++ {
 				aborted = aborts(h.idle(TickInterval))
 			}
 			is.Equal(len(aborted), c.aborted)
--- a/gateway/enginecheck.go
+++ b/gateway/enginecheck.go
@@ -82,9 +82,9 @@
 }
 
 // endObservable reports whether the end of the call's run is likely to be seen if its attempt is aborted now.
-func (s *State) endObservable(p *pendingCall) bool {
+func (s *State) endObservable(c *Call, p *pendingCall) bool {
 	k, ok := s.checks[p.target.start()]
-	return ok && k.history.Observable(s.now.Add(-observableAge))
+	return ok && k.history.Observable(p.currentRun(c), s.now.Add(-observableAge))
 }
 
 // mayAbandon reports whether the attempt of a silent stream may be aborted: its run has ended, or the stream has been silent for longer than
@@ -93,5 +93,5 @@
 	if s.endingAt(p.target.start(), p.currentRun(c)) != runend.Unseen {
 		return true
 	}
-	return s.now.Sub(p.lastEventAt) >= max(p.route.patience()/2, 2*silentEngineTimeout) && s.endObservable(p)
+	return s.now.Sub(p.lastEventAt) >= p.route.abandonTimeout() && s.endObservable(c, p)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -8,8 +8,10 @@
 	configVersion int64
 	tried         []string
 	attemptsLeft  int
-	// running is the id of the upstream at which the stream may still run, empty if there is none.
+	// running is the id of the upstream at which the stream may still run, empty if there is none; begun reports whether it is known that the
+	// run has begun.
 	running string
+	begun   bool
 	// definitions identifies the definitions of the call's route, of its services and of its team, empty if unknown.
 	definitions string
 }
@@ -29,6 +31,9 @@
 // Running returns the id of the upstream at which the stream may still run, empty if there is none.
 func (f forwardTerms) Running() string { return f.running }
 
+// Begun reports whether the run at that upstream is known to have begun.
+func (f forwardTerms) Begun() bool { return f.begun }
+
 // Definitions identifies the definitions of the call's route, of its services and of its team, empty if unknown.
 func (f forwardTerms) Definitions() string { return f.definitions }
 
@@ -43,9 +48,10 @@
 	return Forward{forwardTerms: forwardTerms{team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}, peer: peer, address: address, key: key}
 }
 
-// WithRunning returns the description of an attempt that begins once the run at the upstream has ended; an empty id names none.
-func (f Forward) WithRunning(upstreamID string) Forward {
-	f.running = upstreamID
+// WithRunning returns the description of an attempt that begins once the run at the upstream, which is known to have begun or not, has ended; an
+// empty id names none.
+func (f Forward) WithRunning(upstreamID string, begun bool) Forward {
+	f.running, f.begun = upstreamID, begun
 	return f
 }
 
@@ -75,9 +81,10 @@
 	return Forwarded{forwardTerms: forwardTerms{team: team, configVersion: configVersion, tried: tried, attemptsLeft: attemptsLeft}, from: from}
 }
 
-// WithRunning returns the description of a call that begins once the run at the upstream has ended; an empty id names none.
-func (f Forwarded) WithRunning(upstreamID string) Forwarded {
-	f.running = upstreamID
+// WithRunning returns the description of a call that begins once the run at the upstream, which is known to have begun or not, has ended; an
+// empty id names none.
+func (f Forwarded) WithRunning(upstreamID string, begun bool) Forwarded {
+	f.running, f.begun = upstreamID, begun
 	return f
 }
 
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -135,7 +135,8 @@
 // forward lets the peer make the next attempt of the call.
 func (s *State) forward(c *Call, p *pendingCall, peer string) []Effect {
 	r := s.registrations.byName[peer]
-	f := NewForward(peer, r.forwardAddress, r.accessKey, p.teamName(), s.config.version, slices.Clone(p.triedIDs), p.runsLeft()).WithRunning(s.runningFor(p)).WithDefinitions(s.config.definitions(p.route, p.team))
+	running, begun := s.runningFor(p)
+	f := NewForward(peer, r.forwardAddress, r.accessKey, p.teamName(), s.config.version, slices.Clone(p.triedIDs), p.runsLeft()).WithRunning(running, begun).WithDefinitions(s.config.definitions(p.route, p.team))
 	p.attempts++
 	p.target, p.peer, p.version = s.hop(peer, r).target, peer, versionKey{}
 	p.gotFirstToken, p.promptCleared, p.retryReserved, p.sentAt, p.lastEventAt = false, false, false, s.now, s.now
@@ -238,7 +239,7 @@
 		}
 	}
 	if f.running != "" && s.tracksRuns(p) {
-		return s.holdForwarded(c, p, f.running)
+		return s.holdForwarded(c, p, f)
 	}
 	return s.place(c, p)
 }
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -71,7 +71,7 @@
 	if p.peer != "" {
 		x.upstreamID = o.placement
 		x.upstream, x.known = s.upstreamEntry(o.placement)
-		x.run = runend.NewRun(c.id, p.sentAt).Aborted(s.now) // What ended is the connection to the peer.
+		x.run = p.currentRun(c).Aborted(s.now) // What ended is the connection to the peer.
 		return x
 	}
 	x.upstreamID, x.upstream, x.known = p.target.id, p.target.Upstream, true
@@ -143,12 +143,13 @@
 	return runend.Unseen
 }
 
-// runningFor returns the id of the upstream whose run a peer must see end before it makes the next attempt of the call, empty if there is none.
-func (s *State) runningFor(p *pendingCall) string {
+// runningFor returns the id of the upstream whose run a peer must see end before it makes the next attempt of the call, empty if there is none,
+// and whether that run is known to have begun.
+func (s *State) runningFor(p *pendingCall) (upstreamID string, begun bool) {
 	if s.endingOf(p) == runend.Unseen {
-		return p.previous.upstreamID
+		return p.previous.upstreamID, s.hasBegun(p.previous)
 	}
-	return ""
+	return "", false
 }
 
 // reportMove reports that a stream goes on elsewhere after an attempt that ended with the outcome and may have run.
@@ -178,12 +179,16 @@
 }
 
 // holdForwarded places a forwarded call once its run at the upstream has ended.
-func (s *State) holdForwarded(c *Call, p *pendingCall, upstreamID string) []Effect {
-	upstream, known := s.upstreamEntry(upstreamID)
+func (s *State) holdForwarded(c *Call, p *pendingCall, f Forwarded) []Effect {
+	upstream, known := s.upstreamEntry(f.running)
 	if !known {
 		return s.refuse(c, p, rail.KindNotReady, notReadyRetryAfter)
 	}
-	p.previous = &previousRun{upstreamID: upstreamID, upstream: upstream, known: true, run: runend.NewRun(c.id, s.now).Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
+	run := runend.NewRun(c.id, s.now)
+	if f.begun {
+		run = run.WithEvent(s.now)
+	}
+	p.previous = &previousRun{upstreamID: f.running, upstream: upstream, known: true, run: run.Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
 	s.calls[c] = p
 	s.moves[c] = &move{since: s.now, forwarded: true}
 	return append(s.checkEngine(upstream, moveCheckInterval), Hold{call: c})
@@ -206,7 +211,7 @@
 	for c, m := range s.moves {
 		p := s.calls[c]
 		ended := s.endingOf(p) != runend.Unseen
-		if !ended && s.now.Before(p.previous.eventAt.Add(p.route.stallTimeout())) && s.now.Add(deadlineMargin).Before(p.deadline) {
+		if !ended && s.now.Before(s.moveTimeout(p, m)) && s.now.Add(deadlineMargin).Before(p.deadline) {
 			continue
 		}
 		delete(s.moves, c)
@@ -223,6 +228,19 @@
 	return effects
 }
 
+// moveTimeout returns when the wait for the end of the call's previous run ends. The request of a run that is not known to have begun may have
+// been lost, which no report shows.
+func (s *State) moveTimeout(p *pendingCall, m *move) time.Time {
+	stalled := p.previous.eventAt.Add(p.route.stallTimeout())
+	if s.hasBegun(p.previous) {
+		return stalled
+	}
+	if unread := m.since.Add(p.route.abandonTimeout()); unread.Before(stalled) {
+		return unread
+	}
+	return stalled
+}
+
 // hasBegun reports whether the run is known to have begun.
 func (s *State) hasBegun(x *previousRun) bool {
 	k, ok := s.checks[x.upstream.start()]
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -86,6 +86,7 @@
 			}
 			moves := movesOf(h.advance(100 * time.Millisecond).post(AttemptEnded{call: call, outcome: c.outcome}))
 			is.Equal(len(moves), 0)
+			is.Equal(len(movesOf(h.advance(100*time.Millisecond).checked(engine, call.id))), 0)
 			moves = movesOf(h.advance(time.Second).checked(engine))
 			if c.want == "" {
 				is.Equal(len(moves), 0)
@@ -174,6 +175,8 @@
 	h.advance(100 * time.Millisecond).checked("a")
 	is.Equal(h.state.calls[call].attempts, 1)
 	h.advance(time.Second).checked("a")
+	is.Equal(h.state.calls[call].attempts, 1) // The engine may have been paused until it answered.
+	h.advance(time.Second).checked("a")
 	is.Equal(h.state.calls[call].attempts, 2)
 }
 
@@ -188,9 +191,35 @@
 	h.checked("a")
 	is.Equal(h.state.calls[call].attempts, 1)
 	h.advance(time.Second).checked("a")
+	is.Equal(h.state.calls[call].attempts, 1)
+	h.advance(100*time.Millisecond).checked("a", call.id)
+	is.Equal(h.state.calls[call].attempts, 1)
+	h.advance(100 * time.Millisecond).checked("a")
 	is.Equal(h.state.calls[call].attempts, 2)
 }
 
+// Guards against a stream that waits as long as callers do for the run of a request that its engine never reads.
+func TestWaitForARequestThatIsNotReadIsBounded(t *testing.T) {
+	is := is.New(t)
+	h := newServingHarness(testEngine("a", "north"))
+	call := h.call("/drafts/1")
+	h.arrive(call)
+	h.list(UpstreamSet(testEngine("b", "north")))
+	h.advance(10*time.Millisecond).end(call, brokenOff)
+	ended := h.now
+	for range 60 {
+		h.checked("a")
+		if r, ok := callEffect(h.advance(TickInterval).post(Ticked{})).(Refuse); ok {
+			is.Equal(r.kind, rail.KindUpstreamFailed)
+			break
+		}
+		is.Equal(h.state.calls[call].attempts, 1)
+	}
+	route := h.state.config.route("shop.example", "/drafts/1")
+	is.True(h.now.Sub(ended)-route.abandonTimeout() <= TickInterval)
+	is.True(route.abandonTimeout() < route.patience())
+}
+
 // Guards against calls that wait for good for the end of a run that is never seen.
 func TestWaitForTheEndOfARunIsBounded(t *testing.T) {
 	for _, c := range []struct {
@@ -258,7 +287,7 @@
 
 	peer := newServingHarness(testEngine("e", "north"), testEngine("f", "north"))
 	forwarded := NewCall(call.id, "/drafts/1", "", call.message, peer.now, peer.now.Add(5*time.Second)).WithResume("3").
-		WithForwarded(NewForwarded("gateway-1", "", 1, forward.Tried(), 1).WithRunning(forward.Running()))
+		WithForwarded(NewForwarded("gateway-1", "", 1, forward.Tried(), 1).WithRunning(forward.Running(), forward.Begun()))
 	is.True(holds(peer.post(CallArrived{call: forwarded})))
 	peer.advance(100*time.Millisecond).checked("e", call.id)
 	is.Equal(len(peer.state.moves), 1)
@@ -313,7 +342,7 @@
 			is := is.New(t)
 			h := newServingHarness(testEngine("e", "north"), testEngine("f", "north"))
 			call := NewCall("r-1", "/drafts/1", "", h.call("/drafts/1").message, h.now, h.now.Add(5*time.Second)).WithResume("3").
-				WithForwarded(NewForwarded("gateway-1", "", 1, []string{"e"}, 1).WithRunning("e"))
+				WithForwarded(NewForwarded("gateway-1", "", 1, []string{"e"}, 1).WithRunning("e", true))
 			is.True(holds(h.post(CallArrived{call: call})))
 			h.advance(100 * time.Millisecond)
 			c.seen(h)
@@ -368,7 +397,7 @@
 	is := is.New(t)
 	h := newServingHarness(testEngine("e", "north"), testEngine("f", "north"))
 	call := NewCall("r-1", "/drafts/1", "", h.call("/drafts/1").message, h.now, h.now.Add(5*time.Second)).WithResume("3").
-		WithForwarded(NewForwarded("gateway-1", "", 1, []string{"e"}, 1).WithRunning("e"))
+		WithForwarded(NewForwarded("gateway-1", "", 1, []string{"e"}, 1).WithRunning("e", true))
 	is.True(holds(h.post(CallArrived{call: call})))
 	refused, ok := callEffect(h.post(ShutdownStarted{})).(Refuse)
 	is.True(ok)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -35,6 +35,10 @@
 	return max(minPatience, patienceGoals*r.goal, patienceGaps*r.gapGoal)
 }
 
+// abandonTimeout returns how long a stream stays with an engine that sends it nothing and is reached, and waits for a sign that an engine has
+// read its request.
+func (r *Route) abandonTimeout() time.Duration { return max(r.patience()/2, 2*silentEngineTimeout) }
+
 // stallTimeout returns the time after an event in which a stream of the route must have another one, whatever bytes arrive.
 func (r *Route) stallTimeout() time.Duration { return r.patience() + stallMargin }
 
--- a/runend/check.go
+++ b/runend/check.go
@@ -19,8 +19,10 @@
 // Check is one request to an engine for its report, and the answer.
 type Check struct {
 	startedAt time.Time
-	answer    Answer
-	report    Report
+	// endedAt is when the report had arrived.
+	endedAt time.Time
+	answer  Answer
+	report  Report
 }
 
 // NewCheck returns a check without a report that began at the time.
@@ -28,9 +30,9 @@
 	return Check{startedAt: startedAt, answer: answer}
 }
 
-// NewReport returns a check that began at the time and brought the report.
+// NewReport returns a check that began at the time and brought the report at once.
 func NewReport(startedAt time.Time, r Report) Check {
-	return Check{startedAt: startedAt, answer: Reported, report: r}
+	return Check{startedAt: startedAt, endedAt: startedAt, answer: Reported, report: r}
 }
 
 // Answer returns what the check showed.
@@ -42,6 +44,12 @@
 // Report returns the report, one without a list of runs if there was none.
 func (c Check) Report() Report { return c.report }
 
+// WithEnd returns the check with the time by which its answer had arrived.
+func (c Check) WithEnd(at time.Time) Check {
+	c.endedAt = at
+	return c
+}
+
 // Report is what an engine says of its runs.
 type Report struct {
 	// runs holds the ids of the requests that run, nil if the engine does not list them.
--- a/runend/history.go
+++ b/runend/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -21,10 +22,13 @@
 	Closed Ending = "closed"
 )
 
+// interval is the time from the beginning of a check to its answer.
+type interval struct{ from, to time.Time }
+
 const (
-	// reportAge is how old the content of a report may be.
+	// reportAge is how old the content of a report of an engine that is not paused may be.
 	reportAge = 500 * time.Millisecond
-	// memory is how long it is known that a report listed a run.
+	// memory is how long it is known that a report came, or listed a run.
 	memory = 20 * time.Second
 	// minTimeouts is the number of consecutive timeouts from which an engine counts as unreachable: one may be a lost packet.
 	minTimeouts = 2
@@ -37,6 +41,8 @@
 	lists bool
 	// listedAt holds when the last report that listed a run was asked for, by the id of its request.
 	listedAt map[string]time.Time
+	// reported are the times of the checks that brought a report lately, oldest first.
+	reported []interval
 	// refusedAt is when the last check began that was refused, timedOutAt those of the last checks, as far as all of them timed out.
 	refusedAt  time.Time
 	timedOutAt []time.Time
@@ -56,13 +62,15 @@
 	case Reported:
 		h.last = c
 		h.lists = h.lists || c.report.lists()
-		h.recordRuns(c)
+		h.recordReport(c)
 	}
 }
 
-// recordRuns records which runs the report lists, and drops what is old.
-func (h *History) recordRuns(c Check) {
-	maps.DeleteFunc(h.listedAt, func(_ string, at time.Time) bool { return at.Before(c.startedAt.Add(-memory)) })
+// recordReport records that the report came and which runs it lists, and drops what is old.
+func (h *History) recordReport(c Check) {
+	oldest := c.startedAt.Add(-memory)
+	h.reported = append(slices.DeleteFunc(h.reported, func(i interval) bool { return i.from.Before(oldest) }), interval{c.startedAt, c.endedAt})
+	maps.DeleteFunc(h.listedAt, func(_ string, at time.Time) bool { return at.Before(oldest) })
 	if h.listedAt == nil {
 		h.listedAt = map[string]time.Time{}
 	}
@@ -95,7 +103,8 @@
 	return Unseen
 }
 
-// unlisted reports whether a report shows that the run is not in progress and does not wait.
+// unlisted reports whether a report shows that the run is not in progress and does not wait. A report shows nothing of a request that its
+// engine has not read, however late that is, so that the run must have been listed, or have had an event.
 func (h *History) unlisted(r Run) bool {
 	report := h.last.report
 	if !report.complete() || report.runs[r.id] || h.last.startedAt.Before(r.abandonedAt) {
@@ -104,8 +113,19 @@
 	if report.waiting > 0 {
 		return false // It may be among those that wait: not begun yet, or preempted.
 	}
-	since, known := r.listedSince()
-	return known && h.last.startedAt.Sub(since) >= reportAge
+	return h.listed(r) || (r.hasEvent() && h.isNewerThanRun(r))
+}
+
+// isNewerThanRun reports whether the content of the last report is newer than the beginning of a run that has had an event. That of a report
+// that was asked for while the engine was paused is older than reportAge: another one must have come before, since the end of the attempt.
+func (h *History) isNewerThanRun(r Run) bool {
+	since := r.eventAt.Add(reportAge)
+	if r.abandonedAt.After(since) {
+		since = r.abandonedAt
+	}
+	return slices.ContainsFunc(h.reported, func(i interval) bool {
+		return !i.from.Before(since) && h.last.startedAt.Sub(i.to) >= reportAge
+	})
 }
 
 // unreachable reports whether the engine cannot be reached. While the connection of the run is open, or was aborted, new connections may
@@ -119,9 +139,9 @@
 	return r.closed && n >= timeouts && !h.timedOutAt[n-timeouts].Before(r.abandonedAt)
 }
 
-// Observable reports whether the end of a run that is aborted now is likely to be seen: the engine has listed all its runs since the time,
-// and no request waits there, which a report would not tell apart from the aborted one.
-func (h *History) Observable(since time.Time) bool {
+// Observable reports whether the end of the run is likely to be seen if it is aborted now: it has begun, the engine has listed all its runs
+// since the time, and no request waits there, which a report would not tell apart from the aborted one.
+func (h *History) Observable(r Run, since time.Time) bool {
 	report := h.last.report
-	return report.complete() && report.waiting == 0 && !h.last.startedAt.Before(since)
+	return report.complete() && report.waiting == 0 && !h.last.startedAt.Before(since) && h.Begun(r)
 }
--- a/runend/history_test.go
+++ b/runend/history_test.go
@@ -10,22 +10,27 @@
 // Guards against an attempt that is aborted although the end of its run will not be seen, so that its request is lost.
 func TestEndIsObservableOnlyWhereNothingElseWaits(t *testing.T) {
 	now := time.Date(2026, time.December, 6, 12, 0, 0, 0, time.UTC)
+	sent := NewRun("r-1", now.Add(-2*time.Second))
+	streaming := sent.WithEvent(now.Add(-time.Second))
 	for _, c := range []struct {
 		name  string
+		run   Run
 		check Check
 		want  bool
 	}{
-		{"lists its runs", NewReport(now, NewRuns([]string{"r-1"}, 0)), true},
-		{"requests wait", NewReport(now, NewRuns([]string{"r-1"}, 2)), false},
-		{"lists some of its runs", NewReport(now, NewRuns([]string{"r-1"}, 0).Partial()), false},
-		{"lists none", NewReport(now, Report{}), false},
-		{"old report", NewReport(now.Add(-2*time.Second), NewRuns(nil, 0)), false},
-		{"refused", NewCheck(now, Refused), false},
+		{"lists its runs", sent, NewReport(now, NewRuns([]string{"r-1"}, 0)), true},
+		{"lists others", sent, NewReport(now, NewRuns([]string{"r-0"}, 0)), false},
+		{"lists others, there was an event", streaming, NewReport(now, NewRuns([]string{"r-0"}, 0)), true},
+		{"requests wait", sent, NewReport(now, NewRuns([]string{"r-1"}, 2)), false},
+		{"lists some of its runs", sent, NewReport(now, NewRuns([]string{"r-1"}, 0).Partial()), false},
+		{"lists none", streaming, NewReport(now, Report{}), false},
+		{"old report", sent, NewReport(now.Add(-2*time.Second), NewRuns([]string{"r-1"}, 0)), false},
+		{"refused", streaming, NewCheck(now, Refused), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var h History
 			h.Record(c.check)
-			is.New(t).Equal(h.Observable(now.Add(-time.Second)), c.want)
+			is.New(t).Equal(h.Observable(c.run, now.Add(-time.Second)), c.want)
 		})
 	}
 }
@@ -36,7 +41,7 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	sent := NewRun("r-1", at(0))
 	streaming := sent.WithEvent(at(100))
-	without := Report{}
+	listed, other, without := NewRuns([]string{"r-0", "r-1"}, 0), NewRuns([]string{"r-0"}, 0), Report{}
 	for _, c := range []struct {
 		name   string
 		run    Run
@@ -45,14 +50,23 @@
 	}{
 		{"nothing known", streaming.BrokenOff(at(2000)), nil, Unseen},
 		{"listed", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0", "r-1"}, 0))}, Unseen},
-		{"not listed", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0"}, 0))}, Unlisted},
-		{"not listed, others wait", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0"}, 1))}, Unseen},
+		{"not listed any more", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), listed), NewReport(at(2110), other)}, Unlisted},
+		{"not listed any more, others wait", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), listed), NewReport(at(2110), NewRuns([]string{"r-0"}, 1))}, Unseen},
+		{"not listed any more, was before the end of the attempt", streaming.BrokenOff(at(2000)), []Check{NewReport(at(1500), listed), NewReport(at(2010), other)}, Unlisted},
+		{"not listed any more, report from before the end of the attempt", streaming.BrokenOff(at(2000)), []Check{NewReport(at(1500), listed), NewReport(at(1990), other)}, Unseen},
+		{"not listed by one report", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), other)}, Unseen},
+		{"not listed by the report after one that was answered at once", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), other), NewReport(at(2510), other)}, Unlisted},
+		{"not listed by the report after a pause", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), other).WithEnd(at(3500)), NewReport(at(3510), other)}, Unseen},
+		{"not listed by the report that follows", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), other).WithEnd(at(3500)), NewReport(at(3510), other), NewReport(at(4010), other)}, Unlisted},
+		{"not listed, others wait", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), other), NewReport(at(2510), NewRuns([]string{"r-0"}, 1))}, Unseen},
 		{"not listed, report older than the first event", streaming.BrokenOff(at(200)), []Check{NewReport(at(210), NewRuns(nil, 0))}, Unseen},
 		{"not listed, the request may have waited", sent.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns(nil, 0))}, Unseen},
-		{"not listed, the request would have begun", sent.BrokenOff(at(2000)), []Check{NewReport(at(2510), NewRuns(nil, 0))}, Unlisted},
-		{"not listed, others are not either", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), NewRuns([]string{"r-0"}, 0).Partial())}, Unseen},
-		{"in progress, not listed", streaming, []Check{NewReport(at(2010), NewRuns(nil, 0))}, Unlisted},
-		{"in progress, not listed, others wait", streaming, []Check{NewReport(at(2010), NewRuns(nil, 1))}, Unseen},
+		{"not listed, the request may not have been read", sent.BrokenOff(at(2000)), []Check{NewReport(at(2010), other), NewReport(at(9000), other), NewReport(at(9600), other)}, Unseen},
+		{"listed once it was read, not any more", sent.BrokenOff(at(2000)), []Check{NewReport(at(2010), other), NewReport(at(3500), listed), NewReport(at(4510), other)}, Unlisted},
+		{"not listed any more, another request had the id", NewRun("r-1", at(1000)).BrokenOff(at(2000)), []Check{NewReport(at(900), listed), NewReport(at(2010), other)}, Unseen},
+		{"not listed, others are not either", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), listed), NewReport(at(2110), other.Partial())}, Unseen},
+		{"in progress, not listed", streaming, []Check{NewReport(at(1010), other), NewReport(at(2010), NewRuns(nil, 0))}, Unlisted},
+		{"in progress, not listed, others wait", streaming, []Check{NewReport(at(1010), other), NewReport(at(2010), NewRuns(nil, 1))}, Unseen},
 		{"in progress without an event, not listed", sent, []Check{NewReport(at(2010), NewRuns(nil, 0))}, Unseen},
 		{"refused", streaming.BrokenOff(at(2000)), []Check{NewCheck(at(2010), Refused)}, Gone},
 		{"refused before the request was sent", sent.BrokenOff(at(20)), []Check{NewCheck(at(-10), Refused)}, Unseen},
--- a/runend/run.go
+++ b/runend/run.go
@@ -45,12 +45,3 @@
 
 // hasEvent reports whether the attempt has had an event.
 func (r Run) hasEvent() bool { return !r.eventAt.IsZero() }
-
-// listedSince returns the time from which a run that is in progress must be listed, false if there is none. A request without an event may
-// have waited until its attempt ended, and may not have begun to run.
-func (r Run) listedSince() (time.Time, bool) {
-	if !r.eventAt.IsZero() {
-		return r.eventAt, true
-	}
-	return r.abandonedAt, !r.abandonedAt.IsZero()
-}
