What an older peer says of its upstream's refusal is no promise for orders

A gateway that is partitioned from a service forwards orders to peers. During an upgrade a peer may run a build before, which takes the copy of an earlier refusal for the answer to an order that runs, and reports it as not run.

Cause: the kind in a peer's answer is believed whatever the build that sends it can tell. Answers of peers now have the optional field Rail-Ids-Once, by which a build says that it sends each request id once on a connection. Without it, a kind that says "not run" beside the upstream that the call was sent to counts as upstreamFailed on a route that may run a request once only: 502, not sent again. Refusals that name no upstream, upstreamUnreachable (nothing was written, so that no answer was read), and routes that may repeat or resume a request are as before. Older gateways ignore the field, and strip it like all Rail-*.

Weighed and not taken: a field in the registration, whose two lines older builds read to their ends, so that they would take a third for a part of the key; a preference for peers that are known to have the field, since at the start of an upgrade all forwards of orders would go to the few of them.

Cost: while builds are mixed, an order that an upstream truly refused at an older peer gets 502 in place of another attempt.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -430,6 +430,10 @@
 	}
 	t := p.target
 	s.releaseLoad(p)
+	if p.mayBeCopied(o) {
+		o.err = rail.WrapError(o.err, rail.KindUpstreamFailed, "the peer may have taken a copy of an earlier refusal for the answer")
+		o.kind = rail.KindUpstreamFailed
+	}
 	effects := s.recordAttempt(c, p, o)
 	if o.kind == rail.KindNone {
 		if !p.route.streaming {
--- a/gateway/enginefleet_test.go
+++ b/gateway/enginefleet_test.go
@@ -269,7 +269,7 @@
 	case Refuse:
 		x.refused, x.retryAfter = e.kind, e.retryAfter
 		if x.origin != nil {
-			f.endForward(x, Outcome{kind: e.kind, placement: x.placement})
+			f.endForward(x, Outcome{kind: e.kind, placement: x.placement, idsOnce: true})
 		}
 	case Send:
 		x.attempts++
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -181,7 +181,9 @@
 	// headRead reports whether the head of an answer was read.
 	headRead bool
 	// placement is the id of the upstream that a peer sent the call to, empty if it sent it to none.
-	placement  string
+	placement string
+	// idsOnce reports whether that peer says that it sends each request id once on a connection.
+	idsOnce    bool
 	connection ConnectionUse
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -122,11 +122,13 @@
 type PlacementError struct {
 	cause      error
 	upstreamID string
+	idsOnce    bool
 }
 
-// NewPlacementError returns the error with its cause and the upstream that the peer sent the call to.
-func NewPlacementError(cause error, upstreamID string) *PlacementError {
-	return &PlacementError{cause: cause, upstreamID: upstreamID}
+// NewPlacementError returns the error with its cause, the upstream that the peer sent the call to, and whether the peer says that it sends
+// each request id once on a connection.
+func NewPlacementError(cause error, upstreamID string, idsOnce bool) *PlacementError {
+	return &PlacementError{cause: cause, upstreamID: upstreamID, idsOnce: idsOnce}
 }
 
 // Error returns the text of the cause.
--- a/gateway/forwardfleet_test.go
+++ b/gateway/forwardfleet_test.go
@@ -24,8 +24,10 @@
 	how cutForm
 	// dead holds the gateways that run no longer, draining those that refuse what they have not begun.
 	dead, draining map[string]bool
-	calls          []*simulatedCall
-	served         map[*Call]bool
+	// older holds the gateways that take some answers of upstreams to forwarded calls for refusals, and do not say that they send ids once.
+	older  map[string]bool
+	calls  []*simulatedCall
+	served map[*Call]bool
 	// runs counts the runs of each request, arrivals the requests that reached upstreams.
 	runs     map[string]int
 	arrivals int
@@ -60,7 +62,7 @@
 const forwardKey = "access"
 
 func newForwardFleet(gateways, domains, upstreams int, seed uint64) *forwardFleet {
-	f := &forwardFleet{deskFleet: newDeskFleet(gateways, domains, upstreams, seed), dead: map[string]bool{}, draining: map[string]bool{}, served: map[*Call]bool{}, runs: map[string]int{}, forwarded: map[string]int{}, probes: map[string]int{}, reports: map[rail.EventNumber]int{}, heldHops: map[*Call]func(Effect){}, backlogUntil: map[string]time.Time{}, idle: map[connectionEnds]int{}}
+	f := &forwardFleet{deskFleet: newDeskFleet(gateways, domains, upstreams, seed), dead: map[string]bool{}, draining: map[string]bool{}, older: map[string]bool{}, served: map[*Call]bool{}, runs: map[string]int{}, forwarded: map[string]int{}, probes: map[string]int{}, reports: map[rail.EventNumber]int{}, heldHops: map[*Call]func(Effect){}, backlogUntil: map[string]time.Time{}, idle: map[connectionEnds]int{}}
 	f.cut = func(*State, Upstream) bool { return false }
 	team := NewTeam("engravers", 1, []string{"key-1"}).WithLimit(1e6, 1e6, false, 0)
 	registrations := map[string]Registration{}
@@ -316,9 +318,12 @@
 					finish(Outcome{kind: rail.KindUpstreamFailed})
 					return
 				}
+				if f.older[peer] && o.answered && f.random.IntN(4) == 0 {
+					o = Outcome{kind: rail.KindUpstreamFull, refused: true}
+				}
 				switch e := f.reduce(peer, AttemptEnded{call: c, outcome: o}).(type) {
 				case Refuse:
-					finish(Outcome{kind: e.kind, placement: upstreamID})
+					finish(Outcome{kind: e.kind, placement: upstreamID, idsOnce: !f.older[peer]})
 				case Send:
 					f.secondHops++
 				default:
@@ -653,6 +658,33 @@
 	is.True(failed < len(f.calls)/20)
 }
 
+// Guards against orders that run twice, or are reported as not run, when peers of older builds take copies of refusals for their answers.
+func TestOrdersForwardedToOlderPeersRunOnce(t *testing.T) {
+	for _, size := range forwardFleetSizes {
+		t.Run(strconv.Itoa(size.gateways), func(t *testing.T) {
+			is := is.New(t)
+			f := newForwardFleet(size.gateways, size.domains, size.upstreams, 7)
+			for i, name := range f.names {
+				f.older[name] = i%2 == 0
+			}
+			f.play(2*time.Second, size.perSecond)
+			f.partition(connectionsRefused, inDomain1)
+			f.play(size.contact, size.perSecond)
+			notRun := 0
+			for _, x := range f.calls {
+				order := !strings.HasPrefix(x.call.path, "/orders/lookup/")
+				if order && f.runs[x.call.id] > 0 && x.refused != "" && x.refused.Reply().Run() == rail.NotRun {
+					notRun++
+				}
+			}
+			twice, _ := f.ordersRunTwice()
+			t.Logf("%d requests: %d orders ran twice, %d ran and were refused as not run", f.sent, twice, notRun)
+			is.Equal(twice, 0)
+			is.Equal(notRun, 0)
+		})
+	}
+}
+
 // Guards against a sound version that is taken back because gateways are partitioned from its upstreams.
 func TestPartitionedGatewaysTakeNoVersionBack(t *testing.T) {
 	for how := range connectionsBreak + 1 {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -188,7 +188,7 @@
 	o.refused = errors.As(err, &said) && said.notice.answered
 	var placed *PlacementError
 	if errors.As(err, &placed) {
-		o.placement = placed.upstreamID
+		o.placement, o.idsOnce = placed.upstreamID, placed.idsOnce
 	}
 	var used *ConnectionError
 	if errors.As(err, &used) {
