A stream that an older peer reports as refused waits for its run to end

A stream that may be resumed runs at one engine at a time. A peer of a build before may take the copy of a refusal for the answer to a stream that begins to run; the gateway that has the caller sent it to another engine at once. The older peer resets the connection with the engine's first bytes, so that the stream ran at both until then (TWICE).

Such a refusal without Rail-Ids-Once now counts as an attempt that may have run, also on routes that may resume: the next attempt names the engine (Rail-Forward-Running), and begins once the run there is seen to have ended.

This concerns gateways that are partitioned from their engines while builds are mixed.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -430,7 +430,7 @@
 	}
 	t := p.target
 	s.releaseLoad(p)
-	if p.mayBeCopied(o) {
+	if s.mayBeCopied(p, o) {
 		o.err = rail.WrapError(o.err, rail.KindUpstreamFailed, "the peer may have taken a copy of an earlier refusal for the answer")
 		o.kind = rail.KindUpstreamFailed
 	}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -176,11 +176,12 @@
 	return p.peer != "" && o.placement == "" && o.kind.Reply().Run() == rail.NotRun
 }
 
-// mayBeCopied reports whether a peer may have taken the copy of an earlier refusal for the upstream's answer to a call that must not run twice.
-// What a peer refuses before it sends the call to an upstream, or because it reaches none, does not come from an answer.
-func (p *pendingCall) mayBeCopied(o Outcome) bool {
+// mayBeCopied reports whether a peer may have taken the copy of an earlier refusal for the upstream's answer to a call that must not run twice,
+// or at two upstreams at a time. What a peer refuses before it sends the call to an upstream, or because it reaches none, does not come from an
+// answer.
+func (s *State) mayBeCopied(p *pendingCall, o Outcome) bool {
 	notRun := o.kind != rail.KindUpstreamUnreachable && o.kind.Reply().Run() == rail.NotRun
-	return o.placement != "" && notRun && !o.idsOnce && !p.route.mayRunAgain()
+	return o.placement != "" && notRun && !o.idsOnce && (!p.route.mayRunAgain() || s.tracksRuns(p))
 }
 
 // unknownToPeer reports whether a peer refused the call for its route or its team. Its configuration is not older than the one that
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -296,6 +296,21 @@
 	is.Equal(sent.upstream.id, "f")
 }
 
+// Guards against a stream that goes on at another engine at once after a refusal that a peer of an older build may have taken from a copy (TWICE).
+func TestPeerAwaitsARunThatAnOlderPeerReportsAsRefused(t *testing.T) {
+	for _, idsOnce := range []bool{false, true} {
+		is := is.New(t)
+		h := newPartitionedHarness(t, "gateway-2", "gateway-3")
+		call := h.call("/drafts/1")
+		h.arrive(call)
+		forward, ok := h.end(call, Outcome{kind: rail.KindUpstreamFull, placement: "e", idsOnce: idsOnce}).(Send).Forward()
+		is.True(ok)
+		is.Equal(forward.Running(), map[bool]string{false: "e"}[idsOnce])
+		is.True(!forward.Begun())
+		is.Equal(forward.AttemptsLeft(), map[bool]int{false: 1, true: 2}[idsOnce])
+	}
+}
+
 // Guards against a stream that is sent again after a peer was lost that had not said where it sent it.
 func TestStreamOfALostPeerIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
