A run at the later start of an engine is not taken for one that ended

What callers saw: TWICE is possible for streams of an engine that starts again under its id at its address.

Cause: a run counted as ended (restarted) as soon as the entry of its engine had a later start. Entries are read late, by the time between two heartbeats at least. A stream that is sent meanwhile counts as one at the earlier start, and runs at the later one. When the entry arrived and the connection had ended on the gateway's side only, or the engine was silent, the stream went on elsewhere at once.

A later start ends the run only if it has another address, or is later than the request by more than clocks differ. Otherwise the reports decide, which come from the same address.

--- a/gateway/enginecheck.go
+++ b/gateway/enginecheck.go
@@ -90,7 +90,7 @@
 // mayAbandon reports whether the attempt of a silent stream may be aborted: its run has ended, or the stream has been silent for longer than
 // a sound engine and for half of the time that its caller waits, and the end of the run is likely to be seen.
 func (s *State) mayAbandon(c *Call, p *pendingCall) bool {
-	if s.endingAt(p.target.start(), p.currentRun(c)) != runend.Unseen {
+	if s.endingAt(p.target.Upstream, p.currentRun(c)) != runend.Unseen {
 		return true
 	}
 	return s.now.Sub(p.lastEventAt) >= p.route.abandonTimeout() && s.endObservable(c, p)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -24,7 +24,7 @@
 
 // Endings that are not found by checks of the engine.
 const (
-	// endingRestarted is a run at an engine that has started again since.
+	// endingRestarted is a run at an engine that has started again since its request was sent.
 	endingRestarted runend.Ending = "restarted"
 	// endingAtPeer is a run whose end the peer that makes the next attempt awaits.
 	endingAtPeer runend.Ending = "atPeer"
@@ -127,22 +127,28 @@
 		return ""
 	}
 	if x.ending == runend.Unseen && x.known {
-		x.ending = s.endingAt(x.upstream.start(), x.run)
+		x.ending = s.endingAt(x.upstream, x.run)
 	}
 	return x.ending
 }
 
-// endingAt returns how a run at the start of an engine was seen to end.
-func (s *State) endingAt(start upstreamStart, run runend.Run) runend.Ending {
-	if t, ok := s.registry.targets[start.id]; ok && t.startedAtMs > start.startedAtMs {
+// endingAt returns how a run at the engine was seen to end. Entries are read late, so that a request that was sent to an earlier start may run
+// at a later one that has its address.
+func (s *State) endingAt(u Upstream, run runend.Run) runend.Ending {
+	if t, ok := s.registry.targets[u.id]; ok && t.startedAtMs > u.startedAtMs && (t.address != u.address || s.sentBefore(run, t.startedAtMs)) {
 		return endingRestarted
 	}
-	if k, ok := s.checks[start]; ok {
+	if k, ok := s.checks[u.start()]; ok {
 		return k.history.Ending(run)
 	}
 	return runend.Unseen
 }
 
+// sentBefore reports whether the request of the run was sent before the start, by clocks that differ.
+func (s *State) sentBefore(run runend.Run, startedAtMs int64) bool {
+	return s.TrueTime(run.SentAt()).Add(bornMargin).Before(time.UnixMilli(startedAtMs))
+}
+
 // runningFor returns the id of the upstream whose run a peer must see end before it makes the next attempt of the call, empty if there is none,
 // and whether that run is known to have begun.
 func (s *State) runningFor(p *pendingCall) (upstreamID string, begun bool) {
--- a/runend/run.go
+++ b/runend/run.go
@@ -19,6 +19,9 @@
 // NewRun returns the run of a request that was sent at the time, whose attempt is in progress and has had no event.
 func NewRun(id string, sentAt time.Time) Run { return Run{id: id, sentAt: sentAt} }
 
+// SentAt returns when the request was sent, or is known to have been sent before.
+func (r Run) SentAt() time.Time { return r.sentAt }
+
 // WithEvent returns the run with the time of its first event.
 func (r Run) WithEvent(at time.Time) Run {
 	r.eventAt = at
