entry: a request that was read is answered as the entry stops

Callers of the own product saw connections that ended without an answer after their request had been read by an entry that was stopping. http.Server.Shutdown closes the connections that it takes for idle, and net/http marks a connection as active only some time after it has read a request; platform.Ingress did the same before.

The goroutine that reads now closes a connection, and only if nothing has arrived on it; it reads once more after it was woken, so that what waited in the socket is served too. Connections close after the answer that they carry when the shutdown has begun. A connection with a part of a head is awaited for the time that heads may take, within the time for the whole stop. With TLS the connection below it is closed in the same way.

--- a/entry/listen.go
+++ b/entry/listen.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,11 @@
 type listener struct {
 	net.Listener
 	server *http.Server
+	tls    *tls.Config
+	// leaving reports that each connection closes after its next answer, ended is closed when no further one is accepted.
+	leaving atomic.Bool
+	ended   chan struct{}
+	conns   atomic.Pointer[callerConns]
 }
 
 // listen binds the address, whose host the settings state as an IP address.
@@ -34,21 +40,52 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry.listen")
 	}
-	if t != nil {
-		l = tls.NewListener(l, t)
-	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	return &listener{Listener: l, server: server}, nil
+	return &listener{Listener: l, server: server, tls: t, ended: make(chan struct{})}, nil
 }
 
 // address returns the bound host:port.
 func (l *listener) address() string { return l.Addr().String() }
 
 // serve handles requests until the server is shut down.
-func (l *listener) serve(context.Context) { _ = l.server.Serve(l.Listener) }
+func (l *listener) serve(context.Context) {
+	defer close(l.ended)
+	conns := newCallerConns(l.Listener)
+	l.conns.Store(conns)
+	handler := l.server.Handler
+	l.server.ConnState = conns.connState
+	l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	var accepted net.Listener = conns
+	if l.tls != nil {
+		accepted = tls.NewListener(conns, l.tls)
+	}
+	_ = l.server.Serve(accepted)
+}
 
-// shutdown closes the listener and idle connections, and waits for the requests in flight.
-func (l *listener) shutdown(ctx context.Context) error { return l.server.Shutdown(ctx) }
+// shutdown closes the listener and the connections that carry no request, and waits for the requests in flight. It does not use
+// http.Server.Shutdown, which drops requests that were read.
+func (l *listener) shutdown(ctx context.Context) error {
+	l.leaving.Store(true)
+	if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "shutdown")
+	}
+	if conns := l.conns.Load(); conns != nil {
+		select {
+		case <-l.ended: // What it has accepted is among the open connections now.
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "shutdown")
+		}
+		if err := conns.awaitClosed(ctx); err != nil {
+			return errors.Wrap(err, "shutdown")
+		}
+	}
+	return errors.Wrap(l.server.Close(), "shutdown")
+}
 
 // serverTLS returns the TLS configuration of the control listener, nil if the settings name no keys.
 func serverTLS(s settings.Settings) (*tls.Config, error) {
