gateway: no call that may have run is refused with a status that is a promise

A peer may name an error kind that says that the run is unknown and whose status is 503, as those of the entry daemon have (moved, issuerUnreachable). The kind was passed on, so that the caller of an order that may have run got 503, which promises that it was not run. No gateway sends these kinds; the check costs nothing, and holds for kinds that later builds may add.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -499,8 +499,8 @@
 	if blocked {
 		kind, wait = rail.KindQuarantined, blockedFor
 	}
-	if p.possibleRuns > 0 && kind.Reply().Run() == rail.NotRun {
-		kind = rail.KindUpstreamFailed // An earlier attempt may have run, so the call must not be reported as not run.
+	if p.possibleRuns > 0 && (kind.Reply().Run() == rail.NotRun || promisesNotRun(kind.Reply().Status())) {
+		kind = rail.KindUpstreamFailed // An attempt may have run, so the call must not be reported as not run.
 	}
 	delete(s.calls, c)
 	if p.possibleRuns == 0 {
--- a/gateway/promise_test.go
+++ b/gateway/promise_test.go
@@ -242,7 +242,7 @@
 		err := oneOf(p, broken...)
 		return Outcome{kind: rail.KindUpstreamFailed, err: err, timedOut: errors.Is(err, syscall.ETIMEDOUT), placement: oneOf(p, "", p.placement(forward))}
 	case 4:
-		return Outcome{kind: oneOf(p, rail.KindUpstreamSilent, rail.KindDeadlinePassed, rail.KindInternal), timedOut: true, placement: oneOf(p, "", p.placement(forward))}
+		return Outcome{kind: oneOf(p, rail.KindUpstreamSilent, rail.KindDeadlinePassed, rail.KindInternal, rail.KindMoved), timedOut: true, placement: oneOf(p, "", p.placement(forward))}
 	}
 	if forward == nil {
 		kind := oneOf(p, rail.KindUpstreamFull, rail.KindUpstreamReplaced, rail.KindUpstreamUnreachable, rail.KindUpstreamUnreachable)
