soak: links and upstreams listen at addresses of their own

Cause: all links and upstreams listened at 127.0.0.1. While an upstream is down, nothing listens at its port, and a server of another test got it. The same is suspected of 38 answers 404 and of requests without an id in KNOWN-RED.txt; that is not shown, so these entries stay.

Change: each listener has a loopback address that is used once and depends on the process, as the gateways have.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -6,8 +6,11 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"dandelionrail.org/rail/group"
 )
 
@@ -49,7 +52,7 @@
 }
 
 func newProxy(g *group.Group, target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", nextAddress()+":0")
 	if err != nil {
 		return nil, err
 	}
@@ -65,6 +68,31 @@
 	return p, nil
 }
 
+// Guards against requests that reach a server of another test at the port of an upstream that is down.
+func TestPortOfAProxyThatIsDownIsNotUsedByOthers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := group.New(context.Background())
+	defer g.Stop()
+	p, err := newProxy(g, "127.0.0.1:1")
+	is.NoErr(err)
+	address := p.address()
+	_, port, err := net.SplitHostPort(address)
+	is.NoErr(err)
+	g.Go(func(context.Context) { p.down(time.Second) })
+	for err == nil {
+		var conn net.Conn
+		if conn, err = net.Dial("tcp", address); err == nil {
+			_ = conn.Close()
+		}
+	}
+	other, err := net.Listen("tcp", "127.0.0.1:"+port)
+	is.NoErr(err)
+	defer func() { _ = other.Close() }()
+	_, err = net.Dial("tcp", address)
+	is.True(err != nil) // The proxy is down.
+}
+
 func (p *proxy) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -85,7 +85,7 @@
 }
 
 func newUpstream(g *group.Group, rec *recorder, id, service, zone string) (*upstream, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", nextAddress()+":0")
 	if err != nil {
 		return nil, err
 	}
