--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -29,9 +29,11 @@
 
 // upstream returns the upstream that the fault affects.
 func (d *deployment) upstream(f *faultParams) *upstream {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.upstreams[f.target%len(d.upstreams)]
+	all := d.currentUpstreams()
+	if d.scenario == large {
+		all = d.serving("")
+	}
+	return all[f.target%len(all)]
 }
 
 var faults = []fault{
@@ -158,6 +160,8 @@
 		all = append(append([]fault(nil), faults...), slices.Repeat(silentFaults, 4)...)
 	case repeated:
 		all = append(append([]fault(nil), faults...), slices.Repeat(repeatedFaults, 6)...)
+	case large:
+		all = allLargeFaults()
 	case poisoned:
 		all = append(append([]fault(nil), faults...), poisonedFaults...)
 	}
@@ -166,7 +170,11 @@
 		if (d.scenario == planned || d.scenario == evacuated) && !f.planned {
 			continue
 		}
-		at += time.Duration(100+d.random.IntN(900)) * time.Millisecond
+		interval := time.Duration(100+d.random.IntN(900)) * time.Millisecond
+		if d.scenario == large {
+			interval /= time.Duration(min(maxFaultRate, 1+len(d.processes)/gatewaysPerFault))
+		}
+		at += interval
 		schedule = append(schedule, scheduledFault{f, &faultParams{
 			at: at, duration: time.Duration(200+d.random.IntN(2500)) * time.Millisecond, target: d.random.IntN(1000),
 			mode: mode(1 + d.random.IntN(5)), percent: int32(10 + d.random.IntN(60)),
--- a/soak/poison_test.go
+++ b/soak/poison_test.go
@@ -105,14 +105,19 @@
 	u.recorder.mu.Lock()
 	u.deployment.poison.crashes = append(u.deployment.poison.crashes, time.Now())
 	u.recorder.mu.Unlock()
-	u.deployment.group.Go(func(context.Context) { u.crash() })
+	u.deployment.group.Go(func(context.Context) { u.crash(poisonedDownTime) })
 	time.Sleep(20 * time.Millisecond)
 	panic(http.ErrAbortHandler)
 }
 
 // crash ends the upstream's connections and refuses new ones until it has started again.
-func (u *upstream) crash() {
-	u.proxy.down(poisonedDownTime)
+func (u *upstream) crash(down time.Duration) {
+	u.proxy.down(down)
+	u.startAgain()
+}
+
+// startAgain registers a new start of the upstream's process under its id.
+func (u *upstream) startAgain() {
 	u.starts.Add(1)
 	u.deployment.mu.Lock()
 	draining := u.draining
@@ -148,7 +153,7 @@
 
 // poisonedFaults come in addition in the poisoned scenario.
 var poisonedFaults = []fault{
-	{"upstream crashes", false, func(d *deployment, f *faultParams) { d.upstream(f).crash() }},
+	{"upstream crashes", false, func(d *deployment, f *faultParams) { d.upstream(f).crash(poisonedDownTime) }},
 	{"upstream names a limit", false, func(d *deployment, f *faultParams) { d.limitUpstream(f) }},
 	{"upstream names a limit, again", false, func(d *deployment, f *faultParams) { d.limitUpstream(f) }},
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -23,7 +23,7 @@
 // process is one gateway, in a process of its own.
 type process struct {
 	name         string
-	program      string
+	seed         uint64 // Chooses the program of each start.
 	dir          string
 	frontAddress string
 	readyAddress string
@@ -57,8 +57,8 @@
 	metricsPort = 9464
 )
 
-func newProcess(g *group.Group, rec *recorder, program, dir, name, zone, storeAddress string) (*process, error) {
-	p := &process{name: name, program: program, dir: dir, group: g, recorder: rec}
+func newProcess(g *group.Group, rec *recorder, seed uint64, dir, name, zone, storeAddress string) (*process, error) {
+	p := &process{name: name, seed: seed, dir: dir, group: g, recorder: rec}
 	var err error
 	if p.storeProxy, err = newProxy(g, storeAddress); err != nil {
 		return nil, err
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.program, "gateway")
+	cmd := exec.Command(programOf(p.seed, p.name, p.starts), "gateway")
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath(), platform.MetricsVariable+"="+strconv.Itoa(metricsPort))
 	if err := cmd.Start(); err != nil {
--- a/soak/promise_test.go
+++ b/soak/promise_test.go
@@ -100,10 +100,14 @@
 	}
 	allowed := limitedRate*(quotaWindow.Seconds()+1)*(1+quotaOver) + quotaSlack
 	peak := int64(0)
-	for _, first := range all {
+	slices.SortFunc(all, func(a, b usage) int { return a.sent.Compare(b.sent) })
+	for i, first := range all {
 		sum := int64(0)
-		for _, x := range all {
-			if !x.sent.Before(first.sent) && x.ran.Sub(first.sent) <= quotaWindow {
+		for _, x := range all[i:] {
+			if x.sent.Sub(first.sent) > quotaWindow {
+				break
+			}
+			if x.ran.Sub(first.sent) <= quotaWindow {
 				sum += x.tokens
 			}
 		}
@@ -125,14 +129,12 @@
 			}
 		}
 		countInWindow := func(times []time.Time, from time.Time) int {
-			n := 0
-			for _, t := range times {
-				if !t.Before(from) && t.Sub(from) < retryWindow {
-					n++
-				}
-			}
-			return n
+			first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+			end, _ := slices.BinarySearchFunc(times, from.Add(retryWindow), time.Time.Compare)
+			return end - first
 		}
+		slices.SortFunc(sent, time.Time.Compare)
+		slices.SortFunc(arrivals, time.Time.Compare)
 		for _, from := range sent {
 			requests := max(countInWindow(sent, from), countInWindow(sent, from.Add(-retryWindow)), countInWindow(sent, from.Add(-retryWindow/2)))
 			if extra := countInWindow(arrivals, from) - requests; float64(extra) > retryRatio*float64(requests)+retryExtra {
--- a/soak/repeat_test.go
+++ b/soak/repeat_test.go
@@ -120,7 +120,7 @@
 
 // repeatRefusal chooses whether the refusal that follows is sent twice, and when.
 func (u *upstream) repeatRefusal(r *http.Request) {
-	percent := map[scenario]int{repeated: copyPercent, mixed: mixedCopyPercent}[u.deployment.scenario]
+	percent := map[scenario]int{large: 100, repeated: copyPercent, mixed: mixedCopyPercent}[u.deployment.scenario]
 	if !*copies || rand.IntN(100) >= percent {
 		return
 	}
@@ -211,9 +211,9 @@
 		time.Sleep(f.duration)
 		setFull(0)
 	}},
-	{"upstream is listed under other ids", false, func(d *deployment, f *faultParams) { d.relist(f, (*upstream).replaceEntry) }},
+	{"upstream is listed under other ids", false, func(d *deployment, f *faultParams) { d.relist(d.upstream(f), f, (*upstream).replaceEntry) }},
 	{"upstream is listed with later starts", false, func(d *deployment, f *faultParams) {
-		d.relist(f, func(u *upstream, _ time.Duration) {
+		d.relist(d.upstream(f), f, func(u *upstream, _ time.Duration) {
 			u.starts.Add(1)
 			u.registerAgain(d.store)
 		})
@@ -221,8 +221,8 @@
 }
 
 // relist lists an upstream that serves on anew, several times.
-func (d *deployment) relist(f *faultParams, list func(u *upstream, beside time.Duration)) {
-	u, r := d.upstream(f), rand.New(rand.NewPCG(uint64(f.target), uint64(f.percent)))
+func (d *deployment) relist(u *upstream, f *faultParams, list func(u *upstream, beside time.Duration)) {
+	r := rand.New(rand.NewPCG(uint64(f.target), uint64(f.percent)))
 	for end := time.Now().Add(f.duration); time.Now().Before(end); {
 		d.mu.Lock()
 		draining := u.draining
--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -26,7 +26,7 @@
 		g.Stop()
 		server.Close()
 	})
-	p, err := newProcess(g, newRecorder(), program, t.TempDir(), "gateway-0", "north", strings.TrimPrefix(server.URL, "http://"))
+	p, err := newProcess(g, newRecorder(), 1, t.TempDir(), "gateway-0", "north", strings.TrimPrefix(server.URL, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -26,6 +26,7 @@
 	silentUntil time.Time
 	deaf        bool      // Whether it also reads nothing meanwhile, and answers no reports.
 	pausedUntil time.Time // Until then, it does nothing at all.
+	unreadUntil time.Time // Until then, it reads no requests, but answers reports.
 }
 
 func (s *silence) silent() bool {
@@ -52,6 +53,18 @@
 	s.silentUntil, s.deaf = time.Now().Add(d), deaf
 }
 
+func (s *silence) leavesUnread() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.unreadUntil)
+}
+
+func (s *silence) leaveUnread(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreadUntil = time.Now().Add(d)
+}
+
 func (s *silence) pause(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,7 +103,7 @@
 		deadline = x.at.Add(time.Duration(ms) * time.Millisecond)
 	}
 	stopped := func() bool {
-		late := u.deployment.scenario == silent && time.Now().After(deadline)
+		late := (u.deployment.scenario == silent || u.deployment.scenario == large) && time.Now().After(deadline)
 		return !u.silence.paused() && (late || !u.silence.silent() && r.Context().Err() != nil)
 	}
 	var unsent strings.Builder
@@ -142,8 +155,6 @@
 
 // engine returns the engine that the fault affects.
 func (d *deployment) engine(f *faultParams) *upstream {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	engines := slices.DeleteFunc(slices.Clone(d.upstreams), func(u *upstream) bool { return u.service != "models" || u.draining })
+	engines := d.serving("models")
 	return engines[f.target%len(engines)]
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -142,6 +143,12 @@
 	}
 }
 
+func TestPromisesHoldInALargeFleet(t *testing.T) {
+	for i := range *seedCount {
+		runScenario(t, *firstSeed+uint64(i), large, *length)
+	}
+}
+
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, f := range fixedFailures {
 		runScenario(t, f.seed, f.scenario, failedLength)
@@ -172,12 +179,15 @@
 	silent scenario = "silent"
 	// As mixed, with upstreams that send refusals twice and are listed anew, and callers that send an id again.
 	repeated scenario = "repeated"
-	planned  scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
+	// As silent and repeated, with more engines, order services that go down and return under their ids, one attempt for orders, and callers
+	// that send each id once.
+	large   scenario = "large"
+	planned scenario = "planned" // Only SIGTERM, SIGHUP, new configurations and replaced upstreams.
 )
 
 // test returns the name of the test whose seeds the flags choose.
 func (s scenario) test() string {
-	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", repeated: "TestPromisesHoldUnderRepeatedAnswers", silent: "TestStreamsRunAtOneUpstreamAtATime", evacuated: "TestPromisesHoldUnderEvacuation", planned: "TestPlannedWorkCutsNothing"}[s]
+	return map[scenario]string{mixed: "TestPromisesHoldUnderFaults", hostile: "TestPromisesHoldUnderGarbage", poisoned: "TestPromisesHoldUnderPoison", restored: "TestPromisesHoldAcrossRestores", crashing: "TestPromisesHoldUnderCrashingRequests", partitioned: "TestPromisesHoldUnderPartitions", repeated: "TestPromisesHoldUnderRepeatedAnswers", silent: "TestStreamsRunAtOneUpstreamAtATime", large: "TestPromisesHoldInALargeFleet", evacuated: "TestPromisesHoldUnderEvacuation", planned: "TestPlannedWorkCutsNothing"}[s]
 }
 
 // deployment is the system under test, with its store, upstreams and callers.
@@ -192,6 +202,8 @@
 	storeServer *httptest.Server
 	recorder    *recorder
 	processes   []*process
+	seed        uint64
+	startedAt   time.Time // When all gateways were ready.
 	stoppedAt   time.Time
 	recoverAt   time.Time // When all faults are over.
 	started     atomic.Bool
@@ -219,7 +231,7 @@
 	t.Run(fmt.Sprintf("%s/%d", kind, seed), func(t *testing.T) {
 		t.Parallel()
 		dir := t.TempDir()
-		d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, 1)), scenario: kind, store: store.New(), recorder: newRecorder(), holderByFence: map[string]string{}, leavingTold: map[told]time.Time{}}
+		d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, 1)), seed: seed, scenario: kind, store: store.New(), recorder: newRecorder(), holderByFence: map[string]string{}, leavingTold: map[told]time.Time{}}
 		d.group = group.New(context.Background())
 		d.callers = group.New(context.Background())
 		d.storeServer = httptest.NewServer(http.HandlerFunc(d.serveStore))
@@ -233,7 +245,12 @@
 		if kind == evacuated {
 			d.group.Go(d.evacuate)
 		}
-		for n := range callers {
+		if kind == large {
+			for n := range orderServices {
+				d.group.Go(d.flap(n, rand.New(rand.NewPCG(seed, uint64(n)))))
+			}
+		}
+		for n := range d.callerCount() {
 			d.callers.Go(d.sendRequests(n, rand.New(rand.NewPCG(seed, uint64(n)+2))))
 		}
 		if kind == partitioned {
@@ -267,14 +284,17 @@
 
 func (d *deployment) start(dir string) error {
 	d.configure()
-	for n := range 6 {
-		service := []string{"models", "models", "desk"}[n%3]
-		if _, err := d.addUpstream(service, []string{"north", "south"}[n/3]); err != nil {
+	services := []string{"models", "models", "desk", "models", "models", "desk"}
+	if d.scenario == large {
+		services = append(slices.Repeat([]string{"desk"}, orderServices), slices.Repeat([]string{"models"}, *engines)...)
+	}
+	for n, service := range services {
+		if _, err := d.addUpstream(service, []string{"north", "south"}[n*2/len(services)]); err != nil {
 			return err
 		}
 	}
 	for n := range *gateways {
-		p, err := newProcess(d.group, d.recorder, program, dir, "gateway-"+strconv.Itoa(n), []string{"north", "south"}[n%2], strings.TrimPrefix(d.storeServer.URL, "http://"))
+		p, err := newProcess(d.group, d.recorder, d.seed, dir, "gateway-"+strconv.Itoa(n), []string{"north", "south"}[n%2], strings.TrimPrefix(d.storeServer.URL, "http://"))
 		if err != nil {
 			return err
 		}
@@ -286,6 +306,7 @@
 		}
 	}
 	d.started.Store(true)
+	d.startedAt = time.Now()
 	time.Sleep(time.Second) // The gateways discover each other.
 	return nil
 }
@@ -312,7 +333,7 @@
 	version := d.version
 	type object map[string]any
 	timeout, attempts := 3*time.Second, 2
-	if d.scenario == silent {
+	if d.scenario == silent || d.scenario == large {
 		timeout = streamTimeout
 	}
 	if d.scenario == repeated {
@@ -322,6 +343,10 @@
 		return object{"Name": "r" + strings.ReplaceAll(path, "/", "-"), "Host": "shop.example", "PathPrefix": path, "Kind": kind, "TimeoutMs": int(timeout.Milliseconds()) + version, "GoalMs": 500, "Service": service, "Attempts": attempts, "Sticky": service == "models", "CanResume": resume}
 	}
 	routes := []object{route("/draft/", "streaming", "models", 2, true), route("/chat/", "streaming", "models", 1, false), route("/order/", "non_idempotent", "desk", attempts, false), route("/lookup/", "idempotent", "desk", 2, false)}
+	if d.scenario == large {
+		routes[2] = route("/order/", "non_idempotent", "desk", 1, false)
+		routes = append(routes, route("/draft/long/", "streaming", "models", 2, true))
+	}
 	if d.scenario == restored {
 		routes = append(routes, route(fmt.Sprintf("/added-%d/", version), "idempotent", "desk", 2, false))
 	}
@@ -349,7 +374,7 @@
 		return nil, err
 	}
 	u.deployment = d
-	if d.scenario == partitioned || d.scenario == silent {
+	if d.scenario == partitioned || d.scenario == silent || d.scenario == large {
 		u.proxy.identifyBy(d.connectionOwner)
 	}
 	if d.scenario == repeated && *earlyAnswers {
@@ -377,7 +402,7 @@
 		p := d.processes[n%len(d.processes)]
 		for number := n * 1_000_000; ctx.Err() == nil; number++ {
 			team := "engravers"
-			if n%4 == 0 {
+			if n%4 == 0 && (d.scenario != large || n%16 == 0) {
 				team = "printers"
 			}
 			q := newRequest(r, number, team)
@@ -390,6 +415,9 @@
 			if d.scenario == silent {
 				q.lengthen()
 			}
+			if d.scenario == large {
+				q.makeLarge(n)
+			}
 			if d.scenario == repeated {
 				q.makeUpload(r)
 			}
@@ -418,6 +446,14 @@
 	}
 }
 
+// callerCount returns the number of callers.
+func (d *deployment) callerCount() int {
+	if d.scenario == large {
+		return 2 * max(callers, len(d.processes))
+	}
+	return callers
+}
+
 // exchange sends the request to the gateway and records it with its result.
 func (d *deployment) exchange(ctx context.Context, q *request, p *process, client *http.Client) {
 	q.gateway = p.name
@@ -453,6 +489,7 @@
 		starts += p.starts
 	}
 	d.t.Logf("%d requests, by result %v; %d faults, %d starts, %d usage windows", len(d.requests), counts, len(d.log), starts, len(d.store.Usage()))
+	d.t.Log(d.countCases())
 }
 
 // report reports the violations and the injected faults, and copies the logs if they are to be kept.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -149,6 +149,8 @@
 	if err != nil || r.URL.Path == "/health" {
 		return
 	}
+	late = late || u.silence.leavesUnread()
+	awaitEnd(u.silence.leavesUnread)
 	if late && r.Context().Err() != nil {
 		panic(http.ErrAbortHandler) // It reads the end of the connection together with the request.
 	}
@@ -180,7 +182,7 @@
 		u.running.Add(-1)
 		w.Header().Set("X-Not-Run", "1")
 		u.repeatRefusal(r)
-		if u.deployment.scenario == repeated && rand.IntN(3) == 0 {
+		if s := u.deployment.scenario; (s == repeated || s == large) && rand.IntN(3) == 0 {
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
 		}
