--- a/gateway/coldstart.go
+++ b/gateway/coldstart.go
@@ -7,7 +7,7 @@
 	"dandelionrail.org/rail/slowstart"
 )
 
-// bornMargin is added to the end of a cold period that is computed from the start time of an upstream: the clocks of machines differ.
+// bornMargin is by how much the start time of an upstream may be off: the clocks of machines differ.
 const bornMargin = 500 * time.Millisecond
 
 // coldStart limits what an upstream gets while it is cold and shortly after.
