gateway: the engine of a harness lists a run before it has ended

TestNextStepAfterAttempt/resumable_stream_is_resumed has failed since: no report of its engine listed the stream, and its attempt ends without the event that reports its beginning, so that the request may have been unread.

--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -41,13 +41,14 @@
 	return callEffect(h.post(AttemptEnded{call: c, outcome: o}))
 }
 
-// endSeen ends an attempt at an engine, and lets a report show that its run has ended too.
+// endSeen ends an attempt at an engine, and lets reports show that its run was in progress and has ended too.
 func (h *harness) endSeen(c *Call, o Outcome) Effect {
 	engine := h.state.calls[c].target.id
 	effects := h.post(AttemptEnded{call: c, outcome: o})
 	if !holds(effects) {
 		return callEffect(effects)
 	}
+	h.advance(100*time.Millisecond).checked(engine, c.id)
 	return callEffect(h.advance(time.Second).checked(engine))
 }
 
