A stream at an engine that lists no runs goes on elsewhere only after an event

Found by the review: a report without a list of runs, after a connection that ended by itself, was taken for the end of a run also where the request may be unread (closed).

--- a/runend/history.go
+++ b/runend/history.go
@@ -18,7 +18,7 @@
 	Gone Ending = "gone"
 	// Unreachable is a run at an engine to which no connection can be established.
 	Unreachable Ending = "unreachable"
-	// Closed is a run whose connection was ended by an engine that is reached and does not list its runs.
+	// Closed is a run that had an event, and whose connection was ended by an engine that is reached and does not list its runs.
 	Closed Ending = "closed"
 )
 
@@ -30,6 +30,8 @@
 	reportAge = 500 * time.Millisecond
 	// memory is how long it is known that a report came, or listed a run.
 	memory = 20 * time.Second
+	// maxListed bounds the runs that are known to have been listed: a faulty engine may list others in each report.
+	maxListed = 10_000
 	// minTimeouts is the number of consecutive timeouts from which an engine counts as unreachable: one may be a lost packet.
 	minTimeouts = 2
 )
@@ -71,7 +73,7 @@
 	oldest := c.startedAt.Add(-memory)
 	h.reported = append(slices.DeleteFunc(h.reported, func(i interval) bool { return i.from.Before(oldest) }), interval{c.startedAt, c.endedAt})
 	maps.DeleteFunc(h.listedAt, func(_ string, at time.Time) bool { return at.Before(oldest) })
-	if h.listedAt == nil {
+	if h.listedAt == nil || len(h.listedAt) > maxListed {
 		h.listedAt = map[string]time.Time{}
 	}
 	for id := range c.report.runs {
@@ -97,7 +99,7 @@
 		return Gone
 	case h.unreachable(r):
 		return Unreachable
-	case r.closed && !r.timedOut && !h.lists && h.last.answer == Reported && !h.last.startedAt.Before(r.abandonedAt):
+	case r.closed && !r.timedOut && r.hasEvent() && !h.lists && h.last.answer == Reported && !h.last.startedAt.Before(r.abandonedAt):
 		return Closed
 	}
 	return Unseen
--- a/runend/history_test.go
+++ b/runend/history_test.go
@@ -1,6 +1,7 @@
 package runend
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -78,6 +79,7 @@
 		{"timeouts, connection open", streaming, []Check{NewCheck(at(2010), TimedOut), NewCheck(at(2310), TimedOut), NewCheck(at(2610), TimedOut)}, Unseen},
 		{"no answer", streaming.BrokenOff(at(2000)), []Check{NewCheck(at(2010), NoAnswer), NewCheck(at(4010), NoAnswer)}, Unseen},
 		{"report without runs", streaming.BrokenOff(at(2000)), []Check{NewReport(at(2010), without)}, Closed},
+		{"report without runs, the request may not have been read", sent.BrokenOff(at(2000)), []Check{NewReport(at(2010), without), NewReport(at(9000), without)}, Unseen},
 		{"report without runs before the end of the connection", streaming.BrokenOff(at(2000)), []Check{NewReport(at(1990), without)}, Unseen},
 		{"report without runs, connection aborted", streaming.Aborted(at(2000)), []Check{NewReport(at(2010), without)}, Unseen},
 		{"refused while the stream went on", streaming.BrokenOff(at(9000)), []Check{NewCheck(at(2000), Refused)}, Unseen},
@@ -97,3 +99,18 @@
 		})
 	}
 }
+
+// Guards against an engine that lists other runs in each report, whose ids fill the memory of a gateway.
+func TestListedRunsAreBounded(t *testing.T) {
+	start := time.Date(2026, time.December, 6, 12, 0, 0, 0, time.UTC)
+	var h History
+	const runs = 1000
+	for n := range 3 * maxListed / runs {
+		ids := make([]string, runs)
+		for i := range ids {
+			ids[i] = strconv.Itoa(n*runs + i)
+		}
+		h.Record(NewReport(start.Add(time.Duration(n)*100*time.Millisecond), NewRuns(ids, 0)))
+	}
+	is.New(t).True(len(h.listedAt) <= maxListed+runs)
+}
