The wait for an unread request is one over all peers

Found by the review: each peer that a stream was forwarded to waited anew for the end of a run that is not known to have begun. The gateway that has the caller ends the call once the time has passed.

TestWaitAtPeersForARequestThatIsNotReadIsBounded: 6 s before, where 2 s are stated; it passes.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -554,6 +554,9 @@
 	if p.previous != nil && p.previous.upstreamID == "" {
 		return nil // A peer has lost the call, and did not say which upstream runs it.
 	}
+	if s.endingOf(p) == runend.Unseen && !s.now.Before(s.moveTimeout(p)) {
+		return nil // A peer has waited for the end of the run.
+	}
 	if cut || p.unreachable >= minUnreachable {
 		if peer, ok := s.choosePeer(c, p); ok {
 			if free || s.spendRetry(p) {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -48,6 +48,7 @@
 	run      runend.Run
 	cause    moveCause
 	eventAt  time.Time // Of the last event.
+	endedAt  time.Time // When the attempt ended.
 	ending   runend.Ending
 }
 
@@ -67,7 +68,7 @@
 
 // previousRun describes the call's attempt that ended with the outcome.
 func (s *State) previousRun(c *Call, p *pendingCall, o Outcome) *previousRun {
-	x := &previousRun{cause: p.moveCause(o), eventAt: p.lastEventAt, ending: runend.Unseen}
+	x := &previousRun{cause: p.moveCause(o), eventAt: p.lastEventAt, endedAt: s.now, ending: runend.Unseen}
 	if p.peer != "" {
 		x.upstreamID = o.placement
 		x.upstream, x.known = s.upstreamEntry(o.placement)
@@ -194,7 +195,7 @@
 	if f.begun {
 		run = run.WithEvent(s.now)
 	}
-	p.previous = &previousRun{upstreamID: f.running, upstream: upstream, known: true, run: run.Aborted(s.now), cause: causeForward, eventAt: s.now, ending: runend.Unseen}
+	p.previous = &previousRun{upstreamID: f.running, upstream: upstream, known: true, run: run.Aborted(s.now), cause: causeForward, eventAt: s.now, endedAt: s.now, ending: runend.Unseen}
 	s.calls[c] = p
 	s.moves[c] = &move{since: s.now, forwarded: true}
 	return append(s.checkEngine(upstream, moveCheckInterval), Hold{call: c})
@@ -217,7 +218,7 @@
 	for c, m := range s.moves {
 		p := s.calls[c]
 		ended := s.endingOf(p) != runend.Unseen
-		if !ended && s.now.Before(s.moveTimeout(p, m)) && s.now.Add(deadlineMargin).Before(p.deadline) {
+		if !ended && s.now.Before(s.moveTimeout(p)) && s.now.Add(deadlineMargin).Before(p.deadline) {
 			continue
 		}
 		delete(s.moves, c)
@@ -236,12 +237,12 @@
 
 // moveTimeout returns when the wait for the end of the call's previous run ends. The request of a run that is not known to have begun may have
 // been lost, which no report shows.
-func (s *State) moveTimeout(p *pendingCall, m *move) time.Time {
+func (s *State) moveTimeout(p *pendingCall) time.Time {
 	stalled := p.previous.eventAt.Add(p.route.stallTimeout())
 	if s.hasBegun(p.previous) {
 		return stalled
 	}
-	if unread := m.since.Add(p.route.abandonTimeout()); unread.Before(stalled) {
+	if unread := p.previous.endedAt.Add(p.route.abandonTimeout()); unread.Before(stalled) {
 		return unread
 	}
 	return stalled
