--- a/review/stand3/flood_test.go
+++ b/review/stand3/flood_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["12"] = flood }
+func init() { cases["13"] = flood }
 
 // flood plays engines that crash under one part of prompts. In the disruption, a client that nobody controls sends requests of legal size
 // that are made of very many short header lines, each of which names a part of its prompt; without it, the same client names two parts.
--- a/review/stand3/main_test.go
+++ b/review/stand3/main_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -37,6 +39,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(unable)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		e.close()
+		os.Exit(unable)
+	}()
 	watchdog := time.AfterFunc(115*time.Second, func() {
 		e.note("the case took too long")
 		e.close()
--- a/review/stand3/poison_test.go
+++ b/review/stand3/poison_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["11"] = poison }
+func init() { cases["12"] = poison }
 
 // poison plays engines that crash under one part of prompts. In the disruption, a client that nobody controls sends prompts of legal size
 // whose parts have ids of odd bytes; without it, the same client's ids are hexadecimal.
