--- a/review/stand3/quota_test.go
+++ b/review/stand3/quota_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["15"] = quota }
+func init() { cases["14"] = quota }
 
 // quota plays a tenant that sends more than its quota all the time. In the disruption, another tenant sends 7.5 times its usual for some
 // seconds, so that requests of the first one wait, and their clients leave.
